--- /dev/null
+++ b/cmd/plantainwheel/main.go
@@ -0,0 +1,10 @@
+// Command plantainwheel runs a node and the tools of operators.
+package main
+
+import (
+	"os"
+
+	"github.com/plantainwheel/plantainwheel/internal/operator/commander"
+)
+
+func main() { os.Exit(commander.Main(os.Args, os.Stdout, os.Stderr)) }
--- /dev/null
+++ b/internal/caller/server/server.go
@@ -0,0 +1,136 @@
+// Package server takes requests from callers and answers them.
+package server
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/gin-gonic/gin"
+	"github.com/plantainwheel/plantainwheel/internal/node/broker"
+	"github.com/plantainwheel/plantainwheel/internal/policy/retrier"
+	"github.com/plantainwheel/plantainwheel/internal/target/dispatcher"
+)
+
+// Headers of answers to callers.
+const (
+	// OutcomeHeader says whether the request ran: run, not-run or unknown.
+	OutcomeHeader = "Plantainwheel-Outcome"
+	// CodeHeader carries the machine-readable reason of a refusal.
+	CodeHeader = "Plantainwheel-Code"
+	// RetryAfterHeader is Retry-After in milliseconds.
+	RetryAfterHeader = "Plantainwheel-Retry-After-Ms"
+)
+
+// Broker takes requests to their final answers.
+type Broker interface {
+	Serve(ctx context.Context, in broker.Inbound) broker.Reply
+}
+
+// Server answers callers.
+type Server struct {
+	// Broker serves the requests.
+	Broker Broker
+	// MaxBodyBytes bounds request bodies.
+	MaxBodyBytes int64
+}
+
+// Handler returns the HTTP handler.
+func (s *Server) Handler() http.Handler {
+	engine := gin.New()
+	engine.Use(gin.Recovery())
+	engine.NoRoute(s.serve)
+	return engine
+}
+
+func (s *Server) serve(c *gin.Context) {
+	in, err := ReadInbound(c.Request, s.MaxBodyBytes)
+	if err != nil {
+		WriteReply(c, Unreadable(err))
+		return
+	}
+	in.Key = key(c.Request.Header)
+	in.RequestID = c.GetHeader("Idempotency-Key")
+	WriteReply(c, s.Broker.Serve(c.Request.Context(), in))
+}
+
+func key(h http.Header) string {
+	if token, ok := strings.CutPrefix(h.Get("Authorization"), "Bearer "); ok {
+		return token
+	}
+	return h.Get("X-Api-Key")
+}
+
+// ReadInbound reads a whole request with a bounded body.
+func ReadInbound(r *http.Request, maxBody int64) (broker.Inbound, error) {
+	body, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, maxBody))
+	if err != nil {
+		return broker.Inbound{}, err
+	}
+	in := broker.Inbound{
+		Method:  r.Method,
+		Path:    r.URL.Path,
+		URI:     r.URL.RequestURI(),
+		Headers: dispatcher.KeepHeaders(r.Header),
+		Body:    body,
+	}
+	if ms, err := strconv.ParseInt(r.Header.Get(dispatcher.TimeoutHeader), 10, 64); err == nil && ms > 0 {
+		in.Timeout = time.Duration(ms) * time.Millisecond
+	}
+	return in, nil
+}
+
+// Unreadable is the reply to a request whose body is too large or broken off.
+func Unreadable(err error) broker.Reply {
+	reply := broker.Reply{Outcome: retrier.NotRun, Code: "body-unreadable"}
+	reply.Status = http.StatusBadRequest
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		reply.Code = broker.CodeTooLarge
+		reply.Status = http.StatusRequestEntityTooLarge
+	}
+	return reply
+}
+
+type errorBody struct {
+	Code    broker.Code `json:"code"`
+	Outcome string      `json:"outcome"`
+	// RetryAfterMS is in milliseconds.
+	RetryAfterMS int64 `json:"retry-after-ms,omitempty"`
+}
+
+// WriteReply writes a reply as an HTTP answer.
+func WriteReply(c *gin.Context, reply broker.Reply) {
+	h := c.Writer.Header()
+	h.Set(OutcomeHeader, reply.Outcome.String())
+	if reply.Code == broker.CodeNone {
+		writeAnswer(c, reply)
+		return
+	}
+	h.Set(CodeHeader, string(reply.Code))
+	if reply.RetryAfter > 0 {
+		seconds := (reply.RetryAfter + time.Second - 1) / time.Second
+		h.Set("Retry-After", strconv.FormatInt(int64(seconds), 10))
+		h.Set(RetryAfterHeader, strconv.FormatInt(reply.RetryAfter.Milliseconds(), 10))
+	}
+	c.JSON(reply.Status, errorBody{
+		Code:         reply.Code,
+		Outcome:      reply.Outcome.String(),
+		RetryAfterMS: reply.RetryAfter.Milliseconds(),
+	})
+}
+
+func writeAnswer(c *gin.Context, reply broker.Reply) {
+	h := c.Writer.Header()
+	for _, line := range reply.Headers {
+		h.Add(line.Name, line.Value)
+	}
+	h.Set("Content-Length", strconv.Itoa(len(reply.Body)))
+	c.Status(reply.Status)
+	c.Writer.WriteHeaderNow()
+	_, _ = c.Writer.Write(reply.Body)
+}
--- /dev/null
+++ b/internal/node/runner/app.go
@@ -0,0 +1,175 @@
+package runner
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/gin-gonic/gin"
+	"github.com/phuslu/log"
+	callerserver "github.com/plantainwheel/plantainwheel/internal/caller/server"
+	"github.com/plantainwheel/plantainwheel/internal/node/follower"
+	operatorserver "github.com/plantainwheel/plantainwheel/internal/operator/server"
+	"github.com/plantainwheel/plantainwheel/internal/peer/messenger"
+	"github.com/plantainwheel/plantainwheel/internal/platform/client"
+	"github.com/plantainwheel/plantainwheel/internal/setting/loader"
+	"github.com/plantainwheel/plantainwheel/internal/target/listener"
+	"go.uber.org/fx"
+	"go.uber.org/fx/fxevent"
+)
+
+const (
+	maxHeaderBytes    = 64 << 10
+	readHeaderTimeout = 5 * time.Second
+	idleTimeout       = 60 * time.Second
+	startTimeout      = 15 * time.Second
+	// stopSlack is added to the drain time for the whole stop.
+	stopSlack = 10 * time.Second
+)
+
+// servers are the node's listening sockets, in the order in which they are opened.
+type servers struct {
+	list []*server
+}
+
+type server struct {
+	name    string
+	address string
+	tls     *tls.Config
+	http    *http.Server
+}
+
+// App returns the application that runs a node with these settings.
+func App(cfg loader.Settings, logger *log.Logger) *fx.App {
+	gin.SetMode(gin.ReleaseMode)
+	return fx.New(
+		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
+		fx.StartTimeout(startTimeout),
+		fx.StopTimeout(cfg.DrainWithin.Duration+stopSlack),
+		fx.Supply(cfg, logger),
+		fx.Provide(newStream, newTLS, New, newServers),
+		fx.Invoke(manage),
+	)
+}
+
+func newStream(cfg loader.Settings) follower.Log {
+	return &client.Client{URL: cfg.PlatformURL, Stream: cfg.Stream, HTTP: &http.Client{Transport: &http.Transport{}}}
+}
+
+func newServers(n *Node, tlsConfig *tls.Config) *servers {
+	cfg := n.Settings
+	caller := &callerserver.Server{Broker: n.Broker, MaxBodyBytes: cfg.MaxBodyBytes}
+	target := &listener.Listener{Node: n, Broker: n.Broker, MaxBodyBytes: cfg.MaxBodyBytes}
+	peer := &messenger.Server{
+		Broker: n.Broker, Steward: n.Steward, Teller: n.Teller, Claimer: n.Claimer,
+		Events: n.Events, Token: cfg.FleetToken, Clock: time.Now,
+	}
+	operator := &operatorserver.Server{
+		Follower: n.Follower, Roster: n.Roster, Events: n.Events, Token: cfg.OperatorToken, Self: n.self,
+	}
+	return &servers{list: []*server{
+		newServer("metrics", cfg.MetricsListen, n.metricsHandler(), nil),
+		newServer("operator", cfg.OperatorListen, operator.Handler(), nil),
+		newServer("peer", cfg.PeerListen, peer.Handler(), tlsConfig),
+		newServer("target", cfg.TargetListen, target.Handler(), nil),
+		newServer("caller", cfg.CallerListen, caller.Handler(), nil),
+	}}
+}
+
+func newServer(name, address string, handler http.Handler, tlsConfig *tls.Config) *server {
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	protocols.SetHTTP2(true)
+	protocols.SetUnencryptedHTTP2(true)
+	return &server{name: name, address: address, tls: tlsConfig, http: &http.Server{
+		Handler:           handler,
+		Protocols:         protocols,
+		TLSConfig:         tlsConfig,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       idleTimeout,
+		ErrorLog:          quiet(),
+	}}
+}
+
+func (n *Node) metricsHandler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		n.Metrics.WritePrometheus(w)
+		writeProcessMetrics(w)
+	})
+}
+
+// manage ties the node and its sockets to the application's life.
+func manage(lc fx.Lifecycle, n *Node, s *servers) {
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			n.Start()
+			return s.open(n.Log)
+		},
+		OnStop: func(ctx context.Context) error {
+			drainCtx, cancel := context.WithTimeout(ctx, n.Settings.DrainWithin.Duration)
+			defer cancel()
+			n.Drain()
+			err := s.close(drainCtx, "caller")
+			n.Leave(drainCtx)
+			err = errors.Join(err, s.close(ctx, "target", "peer", "operator", "metrics"))
+			n.Close()
+			n.Log.Info().Msg("node stopped")
+			return err
+		},
+	})
+}
+
+func (s *servers) open(logger *log.Logger) error {
+	for _, v := range s.list {
+		if err := v.open(); err != nil {
+			return err
+		}
+		logger.Info().Str("port", v.name).Str("address", v.address).Msg("listening")
+	}
+	return nil
+}
+
+func (v *server) open() error {
+	l, err := net.Listen("tcp", v.address)
+	if err != nil {
+		return fmt.Errorf("listen for %s: %w", v.name, err)
+	}
+	go func() {
+		if v.tls != nil {
+			_ = v.http.ServeTLS(l, "", "")
+			return
+		}
+		_ = v.http.Serve(l)
+	}()
+	return nil
+}
+
+// close stops the named sockets and waits for their requests.
+func (s *servers) close(ctx context.Context, names ...string) error {
+	var errs []error
+	for _, v := range s.list {
+		if !slices.Contains(names, v.name) {
+			continue
+		}
+		if err := v.http.Shutdown(ctx); err != nil {
+			errs = append(errs, v.http.Close())
+		}
+	}
+	return errors.Join(errs...)
+}
+
+// NewLogger makes a structured logger.
+func NewLogger(w io.Writer, level, vm string) *log.Logger {
+	return &log.Logger{
+		Level:   log.ParseLevel(level),
+		Context: log.NewContext(nil).Str("vm", vm).Value(),
+		Writer:  &log.IOWriter{Writer: w},
+	}
+}
--- /dev/null
+++ b/internal/operator/commander/commander.go
@@ -0,0 +1,114 @@
+// Package commander is the command line of plantainwheel.
+package commander
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os/signal"
+	"syscall"
+
+	"github.com/plantainwheel/plantainwheel/internal/node/runner"
+	"github.com/plantainwheel/plantainwheel/internal/setting/loader"
+	"github.com/urfave/cli/v3"
+)
+
+// Exit statuses.
+const (
+	exitOK      = 0
+	exitFailed  = 1
+	exitInvalid = 2
+)
+
+// Main runs the command line and returns the exit status.
+func Main(args []string, stdout, stderr io.Writer) int {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	app := &cli.Command{
+		Name:      "plantainwheel",
+		Usage:     "overload control for service call graphs",
+		Writer:    stdout,
+		ErrWriter: stderr,
+		Commands: []*cli.Command{
+			nodeCommand(stderr), checkCommand(stdout),
+			getCommand(stdout), applyCommand(stdout), deleteCommand(stdout), watchCommand(stdout), fenceCommand(stdout),
+		},
+		ExitErrHandler: func(context.Context, *cli.Command, error) {},
+	}
+	err := app.Run(ctx, args)
+	switch {
+	case err == nil:
+		return exitOK
+	case errors.Is(err, loader.ErrInvalid):
+		fmt.Fprintln(stderr, err)
+		return exitInvalid
+	default:
+		fmt.Fprintln(stderr, err)
+		return exitFailed
+	}
+}
+
+func nodeCommand(stderr io.Writer) *cli.Command {
+	return &cli.Command{
+		Name:  "node",
+		Usage: "run the node of this VM",
+		Flags: []cli.Flag{&cli.StringFlag{Name: "settings", Usage: "file of settings; the defaults run on loopback"}},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			cfg, err := settings(c.String("settings"))
+			if err != nil {
+				return err
+			}
+			return runNode(ctx, cfg, stderr)
+		},
+	}
+}
+
+func settings(path string) (loader.Settings, error) {
+	if path == "" {
+		return loader.Default(), nil
+	}
+	return loader.Load(path)
+}
+
+func runNode(ctx context.Context, cfg loader.Settings, stderr io.Writer) error {
+	app := runner.App(cfg, runner.NewLogger(stderr, cfg.LogLevel, cfg.VM))
+	if err := app.Err(); err != nil {
+		return fmt.Errorf("node: %w", err)
+	}
+	startCtx, cancel := context.WithTimeout(ctx, app.StartTimeout())
+	defer cancel()
+	if err := app.Start(startCtx); err != nil {
+		return fmt.Errorf("start node: %w", err)
+	}
+	<-ctx.Done()
+	stopCtx, cancelStop := context.WithTimeout(context.WithoutCancel(ctx), app.StopTimeout())
+	defer cancelStop()
+	if err := app.Stop(stopCtx); err != nil {
+		return fmt.Errorf("stop node: %w", err)
+	}
+	return nil
+}
+
+func checkCommand(stdout io.Writer) *cli.Command {
+	return &cli.Command{
+		Name:      "check",
+		Usage:     "check a file of settings, or of declarations with --declarations",
+		ArgsUsage: "FILE",
+		Flags:     []cli.Flag{&cli.BoolFlag{Name: "declarations"}},
+		Action: func(_ context.Context, c *cli.Command) error {
+			path := c.Args().First()
+			var err error
+			if c.Bool("declarations") {
+				_, err = loader.LoadDeclarations(path)
+			} else {
+				_, err = loader.Load(path)
+			}
+			if err != nil {
+				return err
+			}
+			fmt.Fprintf(stdout, "%s: valid\n", path)
+			return nil
+		},
+	}
+}
--- /dev/null
+++ b/internal/peer/messenger/server.go
@@ -0,0 +1,117 @@
+package messenger
+
+import (
+	"context"
+	"crypto/subtle"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/plantainwheel/plantainwheel/internal/event/recorder"
+	"github.com/plantainwheel/plantainwheel/internal/node/broker"
+	"github.com/plantainwheel/plantainwheel/internal/node/claimer"
+	"github.com/plantainwheel/plantainwheel/internal/node/steward"
+	"github.com/plantainwheel/plantainwheel/internal/node/teller"
+	"github.com/plantainwheel/plantainwheel/internal/policy/granter"
+	"github.com/plantainwheel/plantainwheel/internal/policy/lender"
+	"github.com/twitchtv/twirp"
+)
+
+// Server answers the messages of other nodes.
+type Server struct {
+	// Broker runs forwarded calls.
+	Broker *broker.Broker
+	// Steward answers exchanges.
+	Steward *steward.Steward
+	// Teller lends tokens.
+	Teller *teller.Teller
+	// Claimer grants request ids.
+	Claimer *claimer.Claimer
+	// Events gives hybrid logical times.
+	Events *recorder.Ring
+	// Token is the fleet's credential.
+	Token string
+	// Clock returns the time.
+	Clock func() time.Time
+}
+
+// Handler returns the HTTP handler, which lets in only those with the fleet's credential.
+func (s *Server) Handler() http.Handler {
+	inner := NewPeerServer(s)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		token, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+		if subtle.ConstantTimeCompare([]byte(token), []byte(s.Token)) != 1 {
+			_ = twirp.WriteError(w, twirp.NewError(twirp.Unauthenticated, "fleet credential is missing or wrong"))
+			return
+		}
+		s.Events.Witness(recorder.ParseStamp(r.Header.Get(stampHeader)))
+		w.Header().Set(stampHeader, s.Events.Now().String())
+		r.Body = http.MaxBytesReader(w, r.Body, maxMessageBytes)
+		inner.ServeHTTP(w, r)
+	})
+}
+
+// Forward implements Peer.
+func (s *Server) Forward(ctx context.Context, req *ForwardRequest) (*ForwardResponse, error) {
+	call := fromForwardRequest(req)
+	if call.ID == "" || call.Timeout <= 0 {
+		return nil, twirp.RequiredArgumentError("call_id and timeout_ms")
+	}
+	ctx, cancel := context.WithTimeout(ctx, call.Timeout)
+	defer cancel()
+	return toForwardResponse(s.Broker.Execute(ctx, call)), nil
+}
+
+// Exchange implements Peer.
+func (s *Server) Exchange(_ context.Context, req *ExchangeRequest) (*ExchangeResponse, error) {
+	return toExchangeResponse(s.Steward.Answer(fromExchangeRequest(req))), nil
+}
+
+// Borrow implements Peer.
+func (s *Server) Borrow(_ context.Context, req *BorrowRequest) (*BorrowResponse, error) {
+	ask := lender.Ask{
+		From:     req.GetFrom(),
+		Need:     max(int(req.GetNeed()), 0),
+		Want:     max(int(req.GetWant()), 0),
+		Spent:    max(int(req.GetSpent()), 0),
+		Returned: max(int(req.GetReturned()), 0),
+	}
+	loan, err := s.Teller.Lend(teller.Request{Account: req.GetAccount(), Slice: int(req.GetSlice()), Ask: ask})
+	if err != nil {
+		return nil, twirp.NewError(twirp.FailedPrecondition, err.Error())
+	}
+	// Rounding up keeps the borrower from asking too early.
+	dry := (loan.Dry + time.Millisecond - 1).Milliseconds()
+	return &BorrowResponse{Granted: int32(loan.Granted), DryMs: dry}, nil
+}
+
+// Grant implements Peer.
+func (s *Server) Grant(ctx context.Context, req *GrantRequest) (*GrantResponse, error) {
+	if req.GetTo() != s.Claimer.Self() {
+		return &GrantResponse{Status: string(granter.Behind)}, nil
+	}
+	vote := s.Claimer.Grant(ctx, claimer.Request{ID: req.GetId(), Executor: req.GetExecutor(), Version: req.GetVersion()})
+	return &GrantResponse{Status: string(vote.Status), Answer: toAnswer(vote.Answer), Covers: vote.Covers}, nil
+}
+
+// Finish implements Peer.
+func (s *Server) Finish(_ context.Context, req *FinishRequest) (*FinishResponse, error) {
+	s.Claimer.Finish(claimer.Result{
+		ID:       req.GetId(),
+		Executor: req.GetExecutor(),
+		Released: req.GetReleased(),
+		Answer:   fromAnswer(req.GetAnswer()),
+	})
+	return &FinishResponse{}, nil
+}
+
+// Handover implements Peer.
+func (s *Server) Handover(_ context.Context, req *HandoverRequest) (*HandoverResponse, error) {
+	if req.GetTo() != s.Claimer.Self() {
+		return nil, twirp.NewError(twirp.FailedPrecondition, "meant for another incarnation")
+	}
+	if !s.Claimer.Merge(req.GetFrom(), fromEntries(req.GetEntries(), s.Clock()), req.GetCovers()) {
+		return nil, twirp.NewError(twirp.FailedPrecondition, "this node leaves as well")
+	}
+	return &HandoverResponse{}, nil
+}
--- /dev/null
+++ b/internal/platform/client/client.go
@@ -0,0 +1,104 @@
+// Package client reads and appends to the platform's log service over HTTP.
+package client
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+)
+
+// Sentinel errors of the log service.
+var (
+	// ErrUnavailable says that the service refused; nothing was appended.
+	ErrUnavailable = errors.New("log service is unavailable")
+	// ErrUnclear says that no answer came; the record may have been appended.
+	ErrUnclear = errors.New("outcome of append is unknown")
+)
+
+// maxPageBytes bounds one page of records.
+const maxPageBytes = 64 << 20
+
+// Record is one retained entry of a stream.
+type Record struct {
+	Offset int64  `json:"offset"`
+	Data   []byte `json:"data"`
+}
+
+// Page is a part of a stream.
+type Page struct {
+	// First is the offset of the oldest retained record.
+	First int64 `json:"first"`
+	// Head is the offset of the newest record.
+	Head    int64    `json:"head"`
+	Records []Record `json:"records"`
+}
+
+// Client talks to one stream.
+type Client struct {
+	// URL is the address of the log service.
+	URL string
+	// Stream names the stream.
+	Stream string
+	// HTTP sends the requests.
+	HTTP *http.Client
+}
+
+type appendAnswer struct {
+	Offset int64 `json:"offset"`
+}
+
+// Append adds a record and returns its offset.
+func (c *Client) Append(ctx context.Context, data []byte) (int64, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.path("records"), bytes.NewReader(data))
+	if err != nil {
+		return 0, fmt.Errorf("append: %w", err)
+	}
+	resp, err := c.HTTP.Do(req)
+	if err != nil {
+		return 0, fmt.Errorf("%w: %w", ErrUnclear, err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return 0, fmt.Errorf("%w: status %d", ErrUnavailable, resp.StatusCode)
+	}
+	var ans appendAnswer
+	if err := json.NewDecoder(io.LimitReader(resp.Body, 1024)).Decode(&ans); err != nil {
+		return 0, fmt.Errorf("%w: %w", ErrUnclear, err)
+	}
+	return ans.Offset, nil
+}
+
+// Read returns the records from an offset on. It waits up to wait for the first one.
+func (c *Client) Read(ctx context.Context, from int64, wait time.Duration) (Page, error) {
+	q := url.Values{}
+	q.Set("from", strconv.FormatInt(from, 10))
+	q.Set("wait-ms", strconv.FormatInt(wait.Milliseconds(), 10))
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.path("records")+"?"+q.Encode(), nil)
+	if err != nil {
+		return Page{}, fmt.Errorf("read: %w", err)
+	}
+	resp, err := c.HTTP.Do(req)
+	if err != nil {
+		return Page{}, fmt.Errorf("%w: %w", ErrUnavailable, err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return Page{}, fmt.Errorf("%w: status %d", ErrUnavailable, resp.StatusCode)
+	}
+	var page Page
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxPageBytes)).Decode(&page); err != nil {
+		return Page{}, fmt.Errorf("%w: %w", ErrUnavailable, err)
+	}
+	return page, nil
+}
+
+func (c *Client) path(part string) string {
+	return c.URL + "/v1/streams/" + url.PathEscape(c.Stream) + "/" + part
+}
--- /dev/null
+++ b/internal/policy/granter/granter.go
@@ -0,0 +1,231 @@
+// Package granter decides which one executor may run a request id.
+package granter
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/plantainwheel/plantainwheel/internal/policy/reducer"
+)
+
+// Status is a registrar's answer to an executor that asks for an id.
+type Status string
+
+// The statuses.
+const (
+	Granted  Status = "granted"
+	Taken    Status = "taken"
+	Finished Status = "finished"
+	// Stale says that the asker's membership is behind.
+	Stale Status = "stale"
+	// Behind says that the registrar's membership is behind or unconfirmed.
+	Behind Status = "behind"
+	// Full says that the registrar's table has no room.
+	Full Status = "full"
+)
+
+// Header is one header line of an answer.
+type Header struct {
+	Name  string
+	Value string
+}
+
+// Answer is the whole answer that a target gave.
+type Answer struct {
+	Status  int
+	Headers []Header
+	Body    []byte
+}
+
+// Entry says who may run an id and what came of it.
+type Entry struct {
+	ID       string
+	Executor string
+	Finished bool
+	Answer   Answer
+	At       time.Time
+}
+
+// Vote is one registrar's answer.
+type Vote struct {
+	From   string
+	Status Status
+	Answer Answer
+	// Covers lists members that left and whose tables the registrar took over.
+	Covers []string
+}
+
+// Table holds a registrar's grants. It is not safe for concurrent use.
+type Table struct {
+	// Retention is how long an entry is kept after its last change.
+	Retention time.Duration
+	// Capacity bounds the number of entries.
+	Capacity int
+
+	entries map[string]*Entry
+	order   []string
+	covers  []string
+}
+
+// Grant gives an id to the first executor that asks for it.
+func (t *Table) Grant(now time.Time, id, executor string) (Status, Answer) {
+	t.sweep(now)
+	e, ok := t.entries[id]
+	switch {
+	case !ok && len(t.entries) >= t.Capacity:
+		return Full, Answer{}
+	case !ok:
+		t.put(&Entry{ID: id, Executor: executor, At: now})
+		return Granted, Answer{}
+	case e.Finished:
+		return Finished, e.Answer
+	case e.Executor == executor:
+		return Granted, Answer{}
+	default:
+		return Taken, Answer{}
+	}
+}
+
+// Finish keeps the answer of an id for later attempts.
+func (t *Table) Finish(now time.Time, id, executor string, a Answer) {
+	e, ok := t.entries[id]
+	if !ok {
+		e = &Entry{ID: id, Executor: executor}
+		t.put(e)
+	}
+	if e.Executor != executor {
+		return
+	}
+	e.Finished = true
+	e.Answer = a
+	e.At = now
+}
+
+// Release frees an id whose executor has not run it.
+func (t *Table) Release(id, executor string) {
+	e, ok := t.entries[id]
+	if ok && e.Executor == executor && !e.Finished {
+		delete(t.entries, id)
+	}
+}
+
+// Entries returns the whole table and the members that it covers.
+func (t *Table) Entries() ([]Entry, []string) {
+	list := make([]Entry, 0, len(t.entries))
+	for _, e := range t.entries {
+		list = append(list, *e)
+	}
+	slices.SortFunc(list, func(a, b Entry) int { return cmp.Compare(a.ID, b.ID) })
+	return list, slices.Clone(t.covers)
+}
+
+// Merge takes over the table of a member that leaves and of those that it covered.
+func (t *Table) Merge(entries []Entry, covers ...string) {
+	for _, e := range entries {
+		old, ok := t.entries[e.ID]
+		if !ok || (e.Finished && !old.Finished) {
+			t.put(&e)
+		}
+	}
+	for _, id := range covers {
+		if !slices.Contains(t.covers, id) {
+			t.covers = append(t.covers, id)
+		}
+	}
+}
+
+// Covers lists the members whose tables were taken over.
+func (t *Table) Covers() []string { return slices.Clone(t.covers) }
+
+// Len returns the number of entries.
+func (t *Table) Len() int { return len(t.entries) }
+
+func (t *Table) put(e *Entry) {
+	if t.entries == nil {
+		t.entries = map[string]*Entry{}
+	}
+	if _, ok := t.entries[e.ID]; !ok {
+		t.order = append(t.order, e.ID)
+	}
+	t.entries[e.ID] = e
+}
+
+// sweep drops entries past their retention, oldest first.
+func (t *Table) sweep(now time.Time) {
+	for len(t.order) > 0 {
+		id := t.order[0]
+		e, ok := t.entries[id]
+		if ok && now.Sub(e.At) < t.Retention {
+			return
+		}
+		delete(t.entries, id)
+		t.order = t.order[1:]
+	}
+}
+
+// Groups returns the registrar groups whose majorities an executor needs for a shard: the present
+// one and each former one that may have granted the id. Expired tells whether a replaced group can
+// hold no grant any more.
+func Groups(sh reducer.Shard, expired func(until int64) bool) (groups [][]string, whole bool) {
+	groups = append(groups, sh.Group)
+	for _, p := range sh.Past {
+		if !expired(p.Until) {
+			groups = append(groups, p.Group)
+		}
+	}
+	whole = sh.Forgotten == 0 || expired(sh.Forgotten)
+	return groups, whole
+}
+
+// Decision is what the votes amount to.
+type Decision int
+
+// The decisions.
+const (
+	// Wait says that votes are missing.
+	Wait Decision = iota
+	// Run says that the executor alone may run the id.
+	Run
+	// Deny says that another executor may have it.
+	Deny
+	// Replay says that it has run and that its answer is known.
+	Replay
+)
+
+// Tally weighs the votes against the groups.
+func Tally(groups [][]string, votes []Vote) (Decision, Answer) {
+	for _, v := range votes {
+		if v.Status == Finished {
+			return Replay, v.Answer
+		}
+	}
+	granted := map[string]bool{}
+	for _, v := range votes {
+		if v.Status == Taken {
+			return Deny, Answer{}
+		}
+		if v.Status == Granted {
+			granted[v.From] = true
+			for _, id := range v.Covers {
+				granted[id] = true
+			}
+		}
+	}
+	for _, g := range groups {
+		if !hasMajority(g, granted) {
+			return Wait, Answer{}
+		}
+	}
+	return Run, Answer{}
+}
+
+func hasMajority(group []string, granted map[string]bool) bool {
+	n := 0
+	for _, id := range group {
+		if granted[id] {
+			n++
+		}
+	}
+	return n > len(group)/2
+}
--- /dev/null
+++ b/internal/policy/planner/planner.go
@@ -0,0 +1,129 @@
+// Package planner decides which membership records a node has to propose.
+package planner
+
+import (
+	"slices"
+	"time"
+
+	"github.com/plantainwheel/plantainwheel/internal/policy/reducer"
+)
+
+// View is what the decision depends on.
+type View struct {
+	// Self is this incarnation of the node.
+	Self reducer.Member
+	// Silent lists the VMs that nobody has been heard to hear of for the suspect time.
+	Silent []string
+	// Quorum says that a majority of the witnesses has answered this node of late.
+	Quorum bool
+	// Settled is the highest offset known to be folded by a majority of the witnesses.
+	Settled int64
+	// WitnessCount is the wanted number of witnesses.
+	WitnessCount int
+	// SnapshotAge is the time since the last snapshot was folded.
+	SnapshotAge time.Duration
+	// SnapshotEvery is the wanted time between snapshots.
+	SnapshotEvery time.Duration
+}
+
+// slotSlack is by how many slots a holder may exceed its fair share.
+const slotSlack = 1
+
+// Plan returns the next record to propose, if any.
+func Plan(s *reducer.State, v View) (reducer.Record, bool) {
+	steps := []func(*reducer.State, View) (reducer.Record, bool){
+		planJoin, planFence, planWitnesses, planTransfer, planSnapshot,
+	}
+	for _, step := range steps {
+		if rec, ok := step(s, v); ok {
+			return rec, true
+		}
+	}
+	return reducer.Record{}, false
+}
+
+func planJoin(s *reducer.State, v View) (reducer.Record, bool) {
+	if _, ok := s.Members[v.Self.ID()]; ok {
+		return reducer.Record{}, false
+	}
+	return reducer.Record{ID: "join-" + v.Self.ID(), Join: &reducer.Join{Member: v.Self}}, true
+}
+
+// planFence removes a silent member. Only a node that reaches a majority of the witnesses may, so a
+// node that is cut off from the others cannot fence them.
+func planFence(s *reducer.State, v View) (reducer.Record, bool) {
+	if !v.Quorum || !leads(s, v) {
+		return reducer.Record{}, false
+	}
+	for _, m := range s.MemberList() {
+		if m.ID() != v.Self.ID() && slices.Contains(v.Silent, m.VM) {
+			return reducer.Record{ID: "fence-" + m.ID(), Fence: &reducer.Fence{Member: m.ID()}}, true
+		}
+	}
+	return reducer.Record{}, false
+}
+
+// leads says whether this node is the first member that is not silent, which spares the platform
+// the same record from every node.
+func leads(s *reducer.State, v View) bool {
+	for _, m := range s.MemberList() {
+		if !slices.Contains(v.Silent, m.VM) {
+			return m.ID() == v.Self.ID()
+		}
+	}
+	return false
+}
+
+// planWitnesses mends the witness set once the present one is settled.
+func planWitnesses(s *reducer.State, v View) (reducer.Record, bool) {
+	if !leads(s, v) || (len(s.Witness.Members) > 0 && v.Settled < s.Witness.Since) {
+		return reducer.Record{}, false
+	}
+	want := s.ProposeWitnesses(v.WitnessCount)
+	have := slices.Sorted(slices.Values(s.Witness.Members))
+	if slices.Equal(want, have) || len(want) == 0 {
+		return reducer.Record{}, false
+	}
+	return reducer.Record{Witnesses: &reducer.Witnesses{Base: s.Witness.Since, Members: want}}, true
+}
+
+// planTransfer passes on slots that this node holds beyond its fair share.
+func planTransfer(s *reducer.State, v View) (reducer.Record, bool) {
+	self := v.Self.ID()
+	counts := map[string]int{}
+	var mine []int
+	for n, slot := range s.Slots {
+		counts[slot.Holder]++
+		if slot.Holder == self {
+			mine = append(mine, n)
+		}
+	}
+	fair := (reducer.Slots + len(s.Members) - 1) / max(len(s.Members), 1)
+	if len(mine) <= fair+slotSlack {
+		return reducer.Record{}, false
+	}
+	to, fewest := self, len(mine)
+	for _, m := range s.MemberList() {
+		if counts[m.ID()] < fewest && !slices.Contains(v.Silent, m.VM) {
+			to, fewest = m.ID(), counts[m.ID()]
+		}
+	}
+	n := min(len(mine)-fair, fair-fewest)
+	if n <= 0 || to == self {
+		return reducer.Record{}, false
+	}
+	return reducer.Record{Transfer: &reducer.Transfer{From: self, To: to, Slots: mine[:n]}}, true
+}
+
+// planSnapshot writes a snapshot when the last one has aged. Any node may: equal prefixes give equal
+// snapshots, and a late one changes nothing.
+func planSnapshot(s *reducer.State, v View) (reducer.Record, bool) {
+	if v.SnapshotAge < v.SnapshotEvery || !leads(s, v) {
+		return reducer.Record{}, false
+	}
+	data, err := reducer.Marshal(s)
+	if err != nil {
+		return reducer.Record{}, false
+	}
+	return reducer.Record{Snapshot: &reducer.Snapshot{AsOf: s.Offset, State: data}}, true
+}
--- /dev/null
+++ b/internal/policy/reducer/index.go
@@ -0,0 +1,146 @@
+package reducer
+
+import (
+	"cmp"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+)
+
+// index holds the declarations decoded and ordered for look-ups on the hot path.
+type index struct {
+	accounts map[string]Account
+	services map[string]Service
+	keys     map[string]Key
+	routes   map[routeKey][]Route
+	byName   map[string]Route
+	events   map[string][]Event
+}
+
+type routeKey struct {
+	method  string
+	segment string
+}
+
+func newIndex(resources map[ResourceID]Resource) *index {
+	x := &index{
+		accounts: map[string]Account{},
+		services: map[string]Service{},
+		keys:     map[string]Key{},
+		routes:   map[routeKey][]Route{},
+		byName:   map[string]Route{},
+		events:   map[string][]Event{},
+	}
+	for _, r := range resources {
+		x.add(r)
+	}
+	for _, list := range x.routes {
+		slices.SortFunc(list, func(a, b Route) int {
+			return cmp.Or(cmp.Compare(len(b.Path), len(a.Path)), cmp.Compare(a.Name, b.Name))
+		})
+	}
+	return x
+}
+
+func (x *index) add(r Resource) {
+	v, err := parse(r.Kind, r.Name, r.Spec)
+	if err != nil {
+		return
+	}
+	switch v := v.(type) {
+	case *Account:
+		x.accounts[v.Name] = *v
+	case *Service:
+		x.services[v.Name] = *v
+	case *Key:
+		x.keys[v.Hash] = *v
+	case *Route:
+		k := routeKey{v.Method, firstSegment(v.Path)}
+		x.routes[k] = append(x.routes[k], *v)
+		x.byName[v.Name] = *v
+	case *Event:
+		for _, route := range v.Routes {
+			x.events[route] = append(x.events[route], *v)
+		}
+	}
+}
+
+func firstSegment(path string) string {
+	path = strings.TrimPrefix(path, "/")
+	segment, _, _ := strings.Cut(path, "/")
+	return segment
+}
+
+// List returns the resources of a kind, or of all kinds, ordered by kind and name.
+func (s *State) List(kind Kind) []Resource {
+	list := slices.Collect(maps.Values(s.Resources))
+	list = slices.DeleteFunc(list, func(r Resource) bool { return kind != "" && r.Kind != kind })
+	slices.SortFunc(list, func(a, b Resource) int {
+		return cmp.Or(cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Name, b.Name))
+	})
+	return list
+}
+
+// Account returns a declared client account.
+func (s *State) Account(name string) (Account, bool) {
+	a, ok := s.index.accounts[name]
+	return a, ok
+}
+
+// Service returns a declared service.
+func (s *State) Service(name string) (Service, bool) {
+	v, ok := s.index.services[name]
+	return v, ok
+}
+
+// RouteNamed returns a declared route.
+func (s *State) RouteNamed(name string) (Route, bool) {
+	r, ok := s.index.byName[name]
+	return r, ok
+}
+
+// Route returns the declared route with the longest path that matches.
+func (s *State) Route(method, path string) (Route, bool) {
+	for _, segment := range [...]string{firstSegment(path), ""} {
+		for _, r := range s.index.routes[routeKey{method, segment}] {
+			if matches(r.Path, path) {
+				return r, true
+			}
+		}
+	}
+	return Route{}, false
+}
+
+func matches(prefix, path string) bool {
+	if !strings.HasPrefix(path, prefix) {
+		return false
+	}
+	return strings.HasSuffix(prefix, "/") || len(path) == len(prefix) || path[len(prefix)] == '/'
+}
+
+// Authenticate returns the client account whose key was presented.
+func (s *State) Authenticate(key string) (Account, bool) {
+	sum := sha256.Sum256([]byte(key))
+	hash := hex.EncodeToString(sum[:])
+	k, ok := s.index.keys[hash]
+	if !ok || subtle.ConstantTimeCompare([]byte(k.Hash), []byte(hash)) != 1 {
+		return Account{}, false
+	}
+	return s.Account(k.Account)
+}
+
+// ImportanceOf returns a route's importance for an account, raised by events under way.
+func (s *State) ImportanceOf(r Route, account string, now time.Time) Importance {
+	imp := r.Importance
+	for _, e := range s.index.events[r.Name] {
+		during := !now.Before(e.Starts) && now.Before(e.Ends)
+		if during && e.Importance < imp && slices.Contains(e.Accounts, account) {
+			imp = e.Importance
+		}
+	}
+	return imp
+}
--- /dev/null
+++ b/internal/policy/reducer/member.go
@@ -0,0 +1,313 @@
+package reducer
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Shards is the number of partitions of request ids over registrars.
+const Shards = 128
+
+// Slots is the number of partitions of rate slices over holders.
+const Slots = 64
+
+// GroupSize is the number of registrars of a shard.
+const GroupSize = 3
+
+// pastGroups bounds the former groups that a shard remembers.
+const pastGroups = 16
+
+// Member is one incarnation of the node on a VM.
+type Member struct {
+	VM string `json:"vm"`
+	// Incarnation rises with each start of the VM's node.
+	Incarnation int64  `json:"incarnation"`
+	DataCentre  string `json:"data-centre"`
+	PeerAddress string `json:"peer-address"`
+}
+
+// ID identifies the incarnation.
+func (m Member) ID() string { return MemberID(m.VM, m.Incarnation) }
+
+// MemberID joins a VM name and an incarnation.
+func MemberID(vm string, incarnation int64) string {
+	return vm + "/" + strconv.FormatInt(incarnation, 10)
+}
+
+// WitnessState is the set of members whose majority confirms a fold.
+type WitnessState struct {
+	// Since is the offset of the record that set Members.
+	Since   int64    `json:"since"`
+	Members []string `json:"members"`
+	// Previous is the set before; a majority of it is asked as well.
+	Previous []string `json:"previous"`
+	// Ended lists witnesses of both sets that are proven to have stopped.
+	Ended []string `json:"ended"`
+}
+
+func (w WitnessState) has(id string) bool {
+	return slices.Contains(w.Members, id) || slices.Contains(w.Previous, id)
+}
+
+// Shard is the group of registrars that grant a partition of the request ids.
+type Shard struct {
+	Group []string `json:"group"`
+	// Since is the offset of the record that set Group.
+	Since int64 `json:"since"`
+	// Past lists former groups, oldest first.
+	Past []PastGroup `json:"past"`
+	// Forgotten is the offset up to which former groups were dropped from Past.
+	Forgotten int64 `json:"forgotten,omitempty"`
+}
+
+// PastGroup is a group that a membership change replaced.
+type PastGroup struct {
+	Group []string `json:"group"`
+	// Until is the offset of the record that replaced it.
+	Until int64 `json:"until"`
+}
+
+// Slot is a partition of the rate slices with its one holder.
+type Slot struct {
+	Holder string `json:"holder"`
+	// Since is the offset of the record that set Holder.
+	Since int64 `json:"since"`
+	// Fenced says that the former holder may still run and has to be waited for.
+	Fenced bool `json:"fenced"`
+}
+
+// MemberList returns the members ordered by ID.
+func (s *State) MemberList() []Member {
+	list := slices.Collect(maps.Values(s.Members))
+	slices.SortFunc(list, func(a, b Member) int { return cmp.Compare(a.ID(), b.ID()) })
+	return list
+}
+
+// ShardOf returns the shard of a request id.
+func ShardOf(id string) int { return int(xxhash.Sum64String(id) % Shards) }
+
+// SlotOf returns the slot of a slice of an account's rate.
+func SlotOf(account string, slice int) int {
+	return int(xxhash.Sum64String(account+"#"+strconv.Itoa(slice)) % Slots)
+}
+
+func (s *State) join(j *Join) error {
+	m := j.Member
+	if m.VM == "" || m.PeerAddress == "" {
+		return fmt.Errorf("member without VM or peer address")
+	}
+	for _, old := range s.Members {
+		if old.VM == m.VM && old.Incarnation >= m.Incarnation {
+			return fmt.Errorf("incarnation %d is not above %d", m.Incarnation, old.Incarnation)
+		}
+	}
+	for _, old := range s.MemberList() {
+		if old.VM == m.VM {
+			s.drop(old.ID(), false)
+		}
+	}
+	s.Members = maps.Clone(s.Members)
+	s.Members[m.ID()] = m
+	for i := range s.Shards {
+		s.Shards[i] = s.regroup(i, append(slices.Clone(s.Shards[i].Group), m.ID()))
+	}
+	for i := range s.Slots {
+		if s.Slots[i].Holder == "" {
+			s.Slots[i] = Slot{Holder: m.ID(), Since: s.Offset, Fenced: s.Slots[i].Fenced}
+		}
+	}
+	return nil
+}
+
+func (s *State) leave(l *Leave) error {
+	if _, ok := s.Members[l.Member]; !ok {
+		return errUnknown
+	}
+	if _, ok := s.Members[l.Successor]; ok && l.Successor != l.Member {
+		s.Successors = maps.Clone(s.Successors)
+		s.Successors[l.Member] = l.Successor
+	}
+	s.drop(l.Member, false)
+	return nil
+}
+
+func (s *State) fence(f *Fence) error {
+	if _, ok := s.Members[f.Member]; !ok {
+		return errUnknown
+	}
+	s.drop(f.Member, !f.Ended)
+	return nil
+}
+
+// drop removes a member and reassigns what it held.
+func (s *State) drop(id string, fenced bool) {
+	s.Members = maps.Clone(s.Members)
+	delete(s.Members, id)
+	if !fenced && s.Witness.has(id) {
+		s.Witness.Ended = append(slices.Clone(s.Witness.Ended), id)
+	}
+	for i := range s.Shards {
+		if slices.Contains(s.Shards[i].Group, id) {
+			s.Shards[i] = s.regroup(i, slices.Collect(maps.Keys(s.Members)))
+		}
+	}
+	for i, slot := range s.Slots {
+		if slot.Holder == id {
+			s.Slots[i] = Slot{Holder: s.bestHolder(i), Since: s.Offset, Fenced: fenced || slot.Fenced}
+		}
+	}
+}
+
+// regroup picks a shard's group among candidates, in as many data centres as there are.
+func (s *State) regroup(shard int, candidates []string) Shard {
+	old := s.Shards[shard]
+	seed := "shard#" + strconv.Itoa(shard) + "#"
+	ranked := rank(seed, candidates)
+	group := s.spread(ranked, GroupSize)
+	if slices.Equal(group, old.Group) {
+		return old
+	}
+	next := Shard{Group: group, Since: s.Offset, Forgotten: old.Forgotten}
+	if len(old.Group) == 0 {
+		next.Past = old.Past
+		return next
+	}
+	next.Past = append(slices.Clone(old.Past), PastGroup{Group: old.Group, Until: s.Offset})
+	if extra := len(next.Past) - pastGroups; extra > 0 {
+		next.Forgotten = next.Past[extra-1].Until
+		next.Past = next.Past[extra:]
+	}
+	return next
+}
+
+// spread takes n ids in rank order, one per data centre as long as there are further ones.
+func (s *State) spread(ranked []string, n int) []string {
+	picked := make([]string, 0, n)
+	used := map[string]bool{}
+	for _, id := range ranked {
+		dc := s.Members[id].DataCentre
+		if len(picked) < n && !used[dc] {
+			used[dc] = true
+			picked = append(picked, id)
+		}
+	}
+	for _, id := range ranked {
+		if len(picked) < n && !slices.Contains(picked, id) {
+			picked = append(picked, id)
+		}
+	}
+	return picked
+}
+
+func (s *State) bestHolder(slot int) string {
+	ranked := rank("slot#"+strconv.Itoa(slot)+"#", slices.Collect(maps.Keys(s.Members)))
+	if len(ranked) == 0 {
+		return ""
+	}
+	return ranked[0]
+}
+
+func (s *State) transfer(t *Transfer) error {
+	if _, ok := s.Members[t.To]; !ok {
+		return errUnknown
+	}
+	for _, i := range t.Slots {
+		if i < 0 || i >= Slots || s.Slots[i].Holder != t.From {
+			return fmt.Errorf("slot %d is not held by %s", i, t.From)
+		}
+	}
+	for _, i := range t.Slots {
+		s.Slots[i] = Slot{Holder: t.To, Since: s.Offset, Fenced: s.Slots[i].Fenced}
+	}
+	return nil
+}
+
+func (s *State) replaceWitnesses(w *Witnesses) error {
+	if s.Witness.Since != w.Base {
+		return errConflict
+	}
+	for _, id := range w.Members {
+		if _, ok := s.Members[id]; !ok {
+			return errUnknown
+		}
+	}
+	ended := slices.DeleteFunc(slices.Clone(s.Witness.Ended), func(id string) bool {
+		return !slices.Contains(s.Witness.Members, id)
+	})
+	s.Witness = WitnessState{
+		Since:    s.Offset,
+		Members:  w.Members,
+		Previous: s.Witness.Members,
+		Ended:    ended,
+	}
+	return nil
+}
+
+// ProposeWitnesses returns the set that the membership calls for: the present one without
+// departed members, filled up to n from as many data centres as there are.
+func (s *State) ProposeWitnesses(n int) []string {
+	ranked := rank("witness#", slices.Collect(maps.Keys(s.Members)))
+	kept := slices.DeleteFunc(slices.Clone(s.Witness.Members), func(id string) bool {
+		_, ok := s.Members[id]
+		return !ok
+	})
+	rest := slices.DeleteFunc(ranked, func(id string) bool { return slices.Contains(kept, id) })
+	for _, id := range s.spread(rest, len(rest)) {
+		if len(kept) < n {
+			kept = append(kept, id)
+		}
+	}
+	slices.Sort(kept)
+	return kept
+}
+
+// rank orders ids by rendezvous hash, highest first.
+func rank(seed string, ids []string) []string {
+	type scored struct {
+		id    string
+		score uint64
+	}
+	list := make([]scored, len(ids))
+	for i, id := range ids {
+		list[i] = scored{id, xxhash.Sum64String(seed + id)}
+	}
+	slices.SortFunc(list, func(a, b scored) int {
+		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.id, b.id))
+	})
+	ranked := make([]string, len(ids))
+	for i, v := range list {
+		ranked[i] = v.id
+	}
+	return ranked
+}
+
+// maxSuccessors bounds the hops from a member that left to the one that holds its grant table.
+const maxSuccessors = 32
+
+// Holds returns the member that holds a member's grant table: itself, or a successor.
+func (s *State) Holds(id string) string {
+	for range maxSuccessors {
+		next, ok := s.Successors[id]
+		if !ok {
+			return id
+		}
+		id = next
+	}
+	return id
+}
+
+// SplitMemberID parses a member ID.
+func SplitMemberID(id string) (vm string, incarnation int64, err error) {
+	vm, text, _ := strings.Cut(id, "/")
+	incarnation, err = strconv.ParseInt(text, 10, 64)
+	if err != nil {
+		return "", 0, fmt.Errorf("member ID %q: %w", id, err)
+	}
+	return vm, incarnation, nil
+}
--- /dev/null
+++ b/internal/policy/reducer/reducer.go
@@ -0,0 +1,229 @@
+// Package reducer folds the records of the fleet's stream into its declared state.
+package reducer
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+)
+
+// Verdict is what the fold made of a record.
+type Verdict string
+
+// The verdicts.
+const (
+	Accepted  Verdict = "accepted"
+	Conflict  Verdict = "conflict"
+	Rejected  Verdict = "rejected"
+	Duplicate Verdict = "duplicate"
+	Malformed Verdict = "malformed"
+)
+
+// Outcome tells what became of a record.
+type Outcome struct {
+	ID      string  `json:"id"`
+	Offset  int64   `json:"offset"`
+	Verdict Verdict `json:"verdict"`
+	// Current is the version of the resource in force, for a conflict.
+	Current int64  `json:"current,omitempty"`
+	Reason  string `json:"reason,omitempty"`
+}
+
+// State is everything that the fleet agrees on. A State is never changed once it is returned.
+type State struct {
+	// Offset is that of the last folded record; offsets start at 1.
+	Offset    int64
+	Resources map[ResourceID]Resource
+	Members   map[string]Member
+	// Successors maps a member that left to the member that holds its grant table.
+	Successors map[string]string
+	Witness    WitnessState
+	Shards     [Shards]Shard
+	Slots      [Slots]Slot
+	// SnapshotAsOf is the highest offset that a snapshot in the stream covers.
+	SnapshotAsOf int64
+	recent       []Outcome
+	index        *index
+}
+
+// recentOutcomes is how many outcomes are kept to recognise repeated records.
+const recentOutcomes = 1024
+
+var (
+	errConflict = errors.New("the resource has changed since")
+	errUnknown  = errors.New("no such member")
+)
+
+// New returns the state before the first record.
+func New() *State {
+	s := &State{
+		Resources:  map[ResourceID]Resource{},
+		Members:    map[string]Member{},
+		Successors: map[string]string{},
+	}
+	s.index = newIndex(s.Resources)
+	return s
+}
+
+// Fold applies the record at an offset. Records at or below the state's offset change nothing.
+func Fold(s *State, offset int64, data []byte) (*State, Outcome) {
+	if offset <= s.Offset {
+		return s, Outcome{Offset: offset, Verdict: Duplicate}
+	}
+	next := *s
+	next.Offset = offset
+	rec, err := Decode(data)
+	if err != nil {
+		return &next, Outcome{Offset: offset, Verdict: Malformed, Reason: err.Error()}
+	}
+	if earlier, ok := s.Find(rec.ID); ok {
+		return &next, Outcome{ID: rec.ID, Offset: offset, Verdict: Duplicate, Current: earlier.Offset}
+	}
+	out := Outcome{ID: rec.ID, Offset: offset, Verdict: Accepted}
+	if err := next.apply(rec); err != nil {
+		rejected := *s
+		rejected.Offset = offset
+		next = rejected
+		out.Verdict = Rejected
+		out.Reason = err.Error()
+		if errors.Is(err, errConflict) {
+			out.Verdict = Conflict
+			out.Current = s.versionOf(rec)
+		}
+	}
+	if rec.Snapshot == nil {
+		next.remember(out)
+	}
+	return &next, out
+}
+
+// Find returns the recorded outcome of a record id.
+func (s *State) Find(id string) (Outcome, bool) {
+	i := slices.IndexFunc(s.recent, func(o Outcome) bool { return o.ID == id })
+	if i < 0 {
+		return Outcome{}, false
+	}
+	return s.recent[i], true
+}
+
+func (s *State) remember(out Outcome) {
+	start := max(0, len(s.recent)+1-recentOutcomes)
+	kept := make([]Outcome, 0, len(s.recent)-start+1)
+	kept = append(kept, s.recent[start:]...)
+	s.recent = append(kept, out)
+}
+
+func (s *State) versionOf(rec Record) int64 {
+	if rec.Change == nil {
+		return 0
+	}
+	return s.Resources[ResourceID{rec.Change.Kind, rec.Change.Name}].Version
+}
+
+func (s *State) apply(rec Record) error {
+	switch {
+	case rec.Change != nil:
+		return s.change(rec.Change)
+	case rec.Join != nil:
+		return s.join(rec.Join)
+	case rec.Leave != nil:
+		return s.leave(rec.Leave)
+	case rec.Fence != nil:
+		return s.fence(rec.Fence)
+	case rec.Transfer != nil:
+		return s.transfer(rec.Transfer)
+	case rec.Witnesses != nil:
+		return s.replaceWitnesses(rec.Witnesses)
+	default:
+		s.SnapshotAsOf = max(s.SnapshotAsOf, rec.Snapshot.AsOf)
+		return nil
+	}
+}
+
+func (s *State) change(c *Change) error {
+	id := ResourceID{c.Kind, c.Name}
+	if s.Resources[id].Version != c.Base {
+		return errConflict
+	}
+	if c.Delete {
+		return s.remove(id)
+	}
+	if err := Validate(c.Kind, c.Name, c.Spec); err != nil {
+		return err
+	}
+	s.Resources = maps.Clone(s.Resources)
+	s.Resources[id] = Resource{Kind: c.Kind, Name: c.Name, Version: s.Offset, Spec: c.Spec}
+	s.index = newIndex(s.Resources)
+	return nil
+}
+
+func (s *State) remove(id ResourceID) error {
+	if _, ok := s.Resources[id]; !ok {
+		return fmt.Errorf("no %s %s", id.Kind, id.Name)
+	}
+	s.Resources = maps.Clone(s.Resources)
+	delete(s.Resources, id)
+	s.index = newIndex(s.Resources)
+	return nil
+}
+
+type stateDoc struct {
+	Offset       int64             `json:"offset"`
+	Resources    []Resource        `json:"resources"`
+	Members      []Member          `json:"members"`
+	Successors   map[string]string `json:"successors"`
+	Witness      WitnessState      `json:"witness"`
+	Shards       [Shards]Shard     `json:"shards"`
+	Slots        [Slots]Slot       `json:"slots"`
+	SnapshotAsOf int64             `json:"snapshot-as-of"`
+	Recent       []Outcome         `json:"recent"`
+}
+
+// Marshal serializes the state for a snapshot. Equal states give equal bytes.
+func Marshal(s *State) ([]byte, error) {
+	doc := stateDoc{
+		Offset:       s.Offset,
+		Resources:    s.List(""),
+		Members:      s.MemberList(),
+		Successors:   s.Successors,
+		Witness:      s.Witness,
+		Shards:       s.Shards,
+		Slots:        s.Slots,
+		SnapshotAsOf: s.SnapshotAsOf,
+		Recent:       s.recent,
+	}
+	data, err := json.Marshal(doc)
+	if err != nil {
+		return nil, fmt.Errorf("marshal state: %w", err)
+	}
+	return data, nil
+}
+
+// Unmarshal restores a state from a snapshot.
+func Unmarshal(data []byte) (*State, error) {
+	var doc stateDoc
+	if err := json.Unmarshal(data, &doc); err != nil {
+		return nil, fmt.Errorf("%w: state: %w", ErrMalformed, err)
+	}
+	s := New()
+	for _, r := range doc.Resources {
+		if err := Validate(r.Kind, r.Name, r.Spec); err != nil {
+			return nil, fmt.Errorf("%w: state: %w", ErrMalformed, err)
+		}
+		s.Resources[ResourceID{r.Kind, r.Name}] = r
+	}
+	for _, m := range doc.Members {
+		s.Members[m.ID()] = m
+	}
+	maps.Copy(s.Successors, doc.Successors)
+	s.Offset = doc.Offset
+	s.Witness = doc.Witness
+	s.Shards = doc.Shards
+	s.Slots = doc.Slots
+	s.SnapshotAsOf = doc.SnapshotAsOf
+	s.recent = doc.Recent
+	s.index = newIndex(s.Resources)
+	return s, nil
+}
--- /dev/null
+++ b/internal/setting/loader/declaration.go
@@ -0,0 +1,48 @@
+package loader
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"slices"
+
+	"github.com/plantainwheel/plantainwheel/internal/policy/reducer"
+)
+
+// Declaration is one resource that an operator declares.
+type Declaration struct {
+	Kind reducer.Kind    `json:"kind"`
+	Name string          `json:"name"`
+	Spec json.RawMessage `json:"spec"`
+}
+
+type declarationFile struct {
+	Declarations []Declaration `json:"declarations"`
+}
+
+// LoadDeclarations reads declarations from a file and orders them so that they can be applied.
+func LoadDeclarations(path string) ([]Declaration, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("read declarations: %w", err)
+	}
+	return ParseDeclarations(path, data)
+}
+
+// ParseDeclarations reads declarations from text.
+func ParseDeclarations(name string, data []byte) ([]Declaration, error) {
+	var file declarationFile
+	if err := decode(name, data, &file); err != nil {
+		return nil, err
+	}
+	for i, d := range file.Declarations {
+		if err := reducer.Validate(d.Kind, d.Name, d.Spec); err != nil {
+			field := fmt.Sprintf("declarations[%d]", i)
+			return nil, &Problem{File: name, Line: lineOfField(data, field), Field: field, Allowed: err.Error()}
+		}
+	}
+	slices.SortStableFunc(file.Declarations, func(a, b Declaration) int {
+		return slices.Index(reducer.Kinds, a.Kind) - slices.Index(reducer.Kinds, b.Kind)
+	})
+	return file.Declarations, nil
+}
--- /dev/null
+++ b/internal/target/dispatcher/dispatcher.go
@@ -0,0 +1,126 @@
+// Package dispatcher sends calls to the target beside the node over loopback HTTP.
+package dispatcher
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/plantainwheel/plantainwheel/internal/node/broker"
+	"github.com/plantainwheel/plantainwheel/internal/policy/granter"
+)
+
+// Headers that a target gets with each call.
+const (
+	// ContextHeader carries the token that the target passes on with its child calls.
+	ContextHeader = "Plantainwheel-Context"
+	// TimeoutHeader carries what is left of the deadline, in milliseconds.
+	TimeoutHeader = "Plantainwheel-Timeout-Ms"
+	// RequestHeader carries the id of the whole request.
+	RequestHeader = "Plantainwheel-Request"
+	// AccountHeader carries the client account.
+	AccountHeader = "Plantainwheel-Client-Account"
+	// IDHeader carries the caller's own id of a non-idempotent request.
+	IDHeader = "Plantainwheel-Request-Id"
+)
+
+const idleTimeout = 30 * time.Second
+
+// Dispatcher is safe for concurrent use.
+type Dispatcher struct {
+	// MaxBodyBytes bounds answers.
+	MaxBodyBytes int64
+
+	target atomic.Pointer[target]
+}
+
+type target struct {
+	address string
+	client  *http.Client
+}
+
+// Connect sets the target's address and the bound on its connections.
+func (d *Dispatcher) Connect(address string, connections int) {
+	client := &http.Client{
+		Transport: &http.Transport{
+			MaxConnsPerHost:     connections,
+			MaxIdleConnsPerHost: connections,
+			IdleConnTimeout:     idleTimeout,
+			DisableCompression:  true,
+		},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+	old := d.target.Swap(&target{address, client})
+	if old != nil {
+		old.client.CloseIdleConnections()
+	}
+}
+
+// Close ends idle connections.
+func (d *Dispatcher) Close() {
+	if t := d.target.Load(); t != nil {
+		t.client.CloseIdleConnections()
+	}
+}
+
+// Do implements broker.Target. The request has no GetBody and no idempotency header, so the transport
+// does not send it a second time by itself.
+func (d *Dispatcher) Do(ctx context.Context, call broker.Call, token string) (granter.Answer, error) {
+	t := d.target.Load()
+	if t == nil {
+		return granter.Answer{}, fmt.Errorf("%w: no target is announced", broker.ErrNotSent)
+	}
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	req, err := newRequest(httptrace.WithClientTrace(ctx, trace), t.address, call, token)
+	if err != nil {
+		return granter.Answer{}, fmt.Errorf("%w: %w", broker.ErrNotSent, err)
+	}
+	resp, err := t.client.Do(req)
+	if err != nil && !connected.Load() {
+		return granter.Answer{}, fmt.Errorf("%w: %w", broker.ErrNotSent, err)
+	}
+	if err != nil {
+		return granter.Answer{}, fmt.Errorf("%w: %w", broker.ErrBroken, err)
+	}
+	defer resp.Body.Close()
+	return d.read(resp)
+}
+
+func (d *Dispatcher) read(resp *http.Response) (granter.Answer, error) {
+	body, err := io.ReadAll(io.LimitReader(resp.Body, d.MaxBodyBytes+1))
+	if err != nil {
+		return granter.Answer{}, fmt.Errorf("%w: %w", broker.ErrBroken, err)
+	}
+	if int64(len(body)) > d.MaxBodyBytes {
+		return granter.Answer{}, fmt.Errorf("%w: answer exceeds %d bytes", broker.ErrBroken, d.MaxBodyBytes)
+	}
+	return granter.Answer{Status: resp.StatusCode, Headers: KeepHeaders(resp.Header), Body: body}, nil
+}
+
+func newRequest(ctx context.Context, address string, call broker.Call, token string) (*http.Request, error) {
+	req, err := http.NewRequestWithContext(ctx, call.Method, "http://"+address+call.URI, bytes.NewReader(call.Body))
+	if err != nil {
+		return nil, fmt.Errorf("make request: %w", err)
+	}
+	req.GetBody = nil
+	for _, h := range call.Headers {
+		req.Header.Add(h.Name, h.Value)
+	}
+	req.Header.Set(ContextHeader, token)
+	req.Header.Set(RequestHeader, call.RootID)
+	req.Header.Set(AccountHeader, call.Account)
+	if call.RequestID != "" {
+		req.Header.Set(IDHeader, call.RequestID)
+	}
+	if deadline, ok := ctx.Deadline(); ok {
+		req.Header.Set(TimeoutHeader, strconv.FormatInt(time.Until(deadline).Milliseconds(), 10))
+	}
+	return req, nil
+}
