--- a/internal/node/claimer/claimer.go
+++ b/internal/node/claimer/claimer.go
@@ -27,14 +27,6 @@
 	acquireRounds = 3
 )
 
-// Request asks a registrar for an id.
-type Request struct {
-	ID       string
-	Executor string
-	// Version is the offset of the record that made the shard's present group.
-	Version int64
-}
-
 // Result tells the registrars what became of an id.
 type Result struct {
 	ID       string
@@ -46,7 +38,7 @@
 
 // Peers reaches the registrars.
 type Peers interface {
-	Grant(ctx context.Context, member string, req Request) (granter.Vote, error)
+	Grant(ctx context.Context, member string, req granter.Ask) (granter.Vote, error)
 	Finish(ctx context.Context, member string, res Result) error
 	Handover(ctx context.Context, member, from string, entries []granter.Entry, covers []string) error
 }
@@ -82,8 +74,7 @@
 
 // Grant answers an executor as a registrar. The membership of both must be the same, and the
 // registrar's must be recent.
-func (c *Claimer) Grant(ctx context.Context, req Request) granter.Vote {
-	vote := granter.Vote{From: c.Self()}
+func (c *Claimer) Grant(ctx context.Context, req granter.Ask) granter.Vote {
 	shard := reducer.ShardOf(req.ID)
 	if c.since(shard) < req.Version {
 		ctx, cancel := context.WithTimeout(ctx, catchUpWait)
@@ -92,18 +83,13 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	since := c.since(shard)
-	switch {
-	case since > req.Version:
-		vote.Status = granter.Stale
-	case since < req.Version, c.closed, !c.Fold.Confirmed():
-		vote.Status = granter.Behind
-	default:
-		c.limit()
-		vote.Status, vote.Answer = c.table.Grant(c.Clock(), req.ID, req.Executor)
-		vote.Covers = c.table.Covers()
-	}
-	return vote
+	c.limit()
+	return c.table.Vote(c.Clock(), req, granter.Standing{
+		Self:      c.Self(),
+		Since:     c.since(shard),
+		Confirmed: c.Fold.Confirmed(),
+		Closed:    c.closed,
+	})
 }
 
 func (c *Claimer) limit() {
@@ -159,27 +145,30 @@
 func (c *Claimer) round(ctx context.Context, id, executor string) (granter.Decision, granter.Answer) {
 	state := c.Fold.State()
 	shard := state.Shards[reducer.ShardOf(id)]
-	groups, whole := granter.Groups(shard, func(until int64) bool { return c.Fold.Expired(until, c.Retention) })
-	if !whole || len(shard.Group) == 0 {
+	quorums, whole := granter.Quorums(shard, c.expired)
+	if !whole {
 		return granter.Wait, granter.Answer{}
 	}
-	req := Request{ID: id, Executor: executor, Version: shard.Since}
-	registrars := c.registrars(state, groups)
+	req := granter.Ask{ID: id, Executor: executor, Version: shard.Since}
+	registrars := c.registrars(state, quorums)
 	votes := make(chan granter.Vote, len(registrars))
 	for _, member := range registrars {
 		c.jobs.Go(func() { votes <- c.ask(ctx, member, req) })
 	}
-	return c.collect(ctx, groups, votes, len(registrars))
+	return c.collect(ctx, quorums, votes, len(registrars))
 }
 
-func (c *Claimer) collect(ctx context.Context, groups [][]string, votes <-chan granter.Vote, n int) (granter.Decision, granter.Answer) {
+// expired says whether a group that was replaced at an offset can hold no grant any more.
+func (c *Claimer) expired(until int64) bool { return c.Fold.Expired(until, c.Retention) }
+
+func (c *Claimer) collect(ctx context.Context, quorums []granter.Quorum, votes <-chan granter.Vote, n int) (granter.Decision, granter.Answer) {
 	var got []granter.Vote
 	stale := false
 	for range n {
 		v := <-votes
 		stale = stale || v.Status == granter.Stale
 		got = append(got, v)
-		if d, answer := granter.Tally(groups, got); d != granter.Wait {
+		if d, answer := granter.Tally(quorums, got); d != granter.Wait {
 			return d, answer
 		}
 	}
@@ -191,11 +180,11 @@
 	return granter.Wait, granter.Answer{}
 }
 
-// registrars lists the members to ask: those of the groups, or their successors.
-func (c *Claimer) registrars(state *reducer.State, groups [][]string) []string {
+// registrars lists the members to ask: those of the quorums, or their successors.
+func (c *Claimer) registrars(state *reducer.State, quorums []granter.Quorum) []string {
 	var list []string
-	for _, g := range groups {
-		for _, id := range g {
+	for _, q := range quorums {
+		for _, id := range q.Members {
 			list = append(list, state.Holds(id))
 		}
 	}
@@ -203,7 +192,7 @@
 	return slices.Compact(list)
 }
 
-func (c *Claimer) ask(ctx context.Context, member string, req Request) granter.Vote {
+func (c *Claimer) ask(ctx context.Context, member string, req granter.Ask) granter.Vote {
 	if member == c.Self() {
 		return c.Grant(ctx, req)
 	}
@@ -227,8 +216,8 @@
 func (c *Claimer) tell(res Result) {
 	state := c.Fold.State()
 	shard := state.Shards[reducer.ShardOf(res.ID)]
-	groups, _ := granter.Groups(shard, func(until int64) bool { return c.Fold.Expired(until, c.Retention) })
-	for _, member := range c.registrars(state, groups) {
+	quorums, _ := granter.Quorums(shard, c.expired)
+	for _, member := range c.registrars(state, quorums) {
 		if member == c.Self() {
 			c.Finish(res)
 			continue
--- a/internal/node/runner/app.go
+++ b/internal/node/runner/app.go
@@ -53,7 +53,7 @@
 		fx.StartTimeout(startTimeout),
 		fx.StopTimeout(cfg.DrainWithin.Duration+stopSlack),
 		fx.Supply(cfg, logger),
-		fx.Provide(newStream, newTLS, New, newServers),
+		fx.Provide(newStream, newLinks, New, newServers),
 		fx.Invoke(manage),
 	)
 }
@@ -62,7 +62,12 @@
 	return &client.Client{URL: cfg.PlatformURL, Stream: cfg.Stream, HTTP: &http.Client{Transport: &http.Transport{}}}
 }
 
-func newServers(n *Node, tlsConfig *tls.Config) *servers {
+func newLinks(cfg loader.Settings) (Links, error) {
+	tlsConfig, err := newTLS(cfg)
+	return Links{TLS: tlsConfig}, err
+}
+
+func newServers(n *Node, links Links) *servers {
 	cfg := n.Settings
 	caller := &callerserver.Server{Broker: n.Broker, MaxBodyBytes: cfg.MaxBodyBytes}
 	target := &listener.Listener{Node: n, Broker: n.Broker, MaxBodyBytes: cfg.MaxBodyBytes}
@@ -76,7 +81,7 @@
 	return &servers{list: []*server{
 		newServer("metrics", cfg.MetricsListen, n.metricsHandler(), nil),
 		newServer("operator", cfg.OperatorListen, operator.Handler(), nil),
-		newServer("peer", cfg.PeerListen, peer.Handler(), tlsConfig),
+		newServer("peer", cfg.PeerListen, peer.Handler(), links.TLS),
 		newServer("target", cfg.TargetListen, target.Handler(), nil),
 		newServer("caller", cfg.CallerListen, caller.Handler(), nil),
 	}}
--- a/internal/node/runner/node.go
+++ b/internal/node/runner/node.go
@@ -37,6 +37,21 @@
 	spreadWait = 300 * time.Millisecond
 )
 
+// Peers reaches the other nodes.
+type Peers interface {
+	broker.Peers
+	steward.Peers
+	teller.Peers
+	claimer.Peers
+}
+
+// Links are a node's ways to its peers and its target. Unset ones are made from the settings.
+type Links struct {
+	Peers  Peers
+	Target broker.Target
+	TLS    *tls.Config
+}
+
 // Node holds the parts of one node.
 type Node struct {
 	Settings   loader.Settings
@@ -59,7 +74,7 @@
 }
 
 // New wires a node that follows a stream.
-func New(cfg loader.Settings, stream follower.Log, logger *log.Logger, tlsConfig *tls.Config) *Node {
+func New(cfg loader.Settings, stream follower.Log, logger *log.Logger, links Links) *Node {
 	n := &Node{Settings: cfg, Log: logger, Metrics: metrics.NewSet()}
 	n.Events = &recorder.Ring{Node: cfg.VM, Capacity: eventCapacity, Clock: time.Now}
 	n.Roster = &roster.Roster{Self: cfg.VM, DataCentre: cfg.DataCentre, Clock: time.Now}
@@ -78,21 +93,27 @@
 		Members: n.Follower.State,
 		Events:  n.Events,
 		Token:   cfg.FleetToken,
-		TLS:     tlsConfig,
+		TLS:     links.TLS,
 		Clock:   time.Now,
 	}
-	n.wire()
+	if links.Peers == nil {
+		links.Peers = n.Messenger
+	}
+	if links.Target == nil {
+		links.Target = n.Dispatcher
+	}
+	n.wire(links)
 	n.register()
 	n.Steward.Init()
 	return n
 }
 
-func (n *Node) wire() {
+func (n *Node) wire(links Links) {
 	cfg := n.Settings
-	n.Teller = &teller.Teller{Fold: n.Follower, Peers: n.Messenger, Clock: time.Now, Self: n.self}
+	n.Teller = &teller.Teller{Fold: n.Follower, Peers: links.Peers, Clock: time.Now, Self: n.self}
 	n.Claimer = &claimer.Claimer{
 		Fold:      n.Follower,
-		Peers:     n.Messenger,
+		Peers:     links.Peers,
 		Clock:     time.Now,
 		Self:      n.self,
 		Retention: cfg.Retention.Duration,
@@ -105,7 +126,7 @@
 		Seeds:         cfg.Seeds,
 		Follower:      n.Follower,
 		Roster:        n.Roster,
-		Peers:         n.Messenger,
+		Peers:         links.Peers,
 		Slots:         n.Teller,
 		Events:        n.Events,
 		Clock:         time.Now,
@@ -122,8 +143,8 @@
 		Guard:   n.Guard,
 		Rates:   n.Teller,
 		Claims:  n.Claimer,
-		Peers:   n.Messenger,
-		Target:  n.Dispatcher,
+		Peers:   links.Peers,
+		Target:  links.Target,
 		Events:  n.Events,
 		Metrics: broker.NewMetrics(n.Metrics),
 		Clock:   time.Now,
--- a/internal/node/steward/steward.go
+++ b/internal/node/steward/steward.go
@@ -85,6 +85,7 @@
 	left        atomic.Bool
 	mu          sync.Mutex
 	joined      bool
+	fenced      bool
 	snapshotAs  int64
 	snapshotAt  time.Time
 	// uncertain says that an earlier transfer may still be recorded; only Upkeep uses it.
@@ -298,6 +299,7 @@
 			DataCentre:  s.DataCentre,
 			PeerAddress: s.PeerAddress,
 		},
+		Fenced:        s.wasFenced(),
 		Silent:        s.Roster.Silent(s.SuspectAfter),
 		Quorum:        s.Follower.Quorum(),
 		Settled:       s.Follower.Settled(),
@@ -318,6 +320,12 @@
 	return now.Sub(s.snapshotAt)
 }
 
+func (s *Steward) wasFenced() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.fenced
+}
+
 // rejoin starts a new incarnation after the present one was fenced.
 func (s *Steward) rejoin(state *reducer.State) {
 	s.mu.Lock()
@@ -328,6 +336,7 @@
 		return
 	}
 	s.joined = false
+	s.fenced = true
 	s.Fenced()
 	s.incarnation.Store(max(s.Clock().UnixMicro(), s.incarnation.Load()+1))
 	s.Follower.SetSelf(s.Self())
--- a/internal/peer/messenger/client.go
+++ b/internal/peer/messenger/client.go
@@ -154,7 +154,7 @@
 }
 
 // Grant implements claimer.Peers.
-func (c *Client) Grant(ctx context.Context, member string, req claimer.Request) (granter.Vote, error) {
+func (c *Client) Grant(ctx context.Context, member string, req granter.Ask) (granter.Vote, error) {
 	p, err := c.member(member)
 	if err != nil {
 		return granter.Vote{}, err
--- a/internal/peer/messenger/server.go
+++ b/internal/peer/messenger/server.go
@@ -90,7 +90,7 @@
 	if req.GetTo() != s.Claimer.Self() {
 		return &GrantResponse{Status: string(granter.Behind)}, nil
 	}
-	vote := s.Claimer.Grant(ctx, claimer.Request{ID: req.GetId(), Executor: req.GetExecutor(), Version: req.GetVersion()})
+	vote := s.Claimer.Grant(ctx, granter.Ask{ID: req.GetId(), Executor: req.GetExecutor(), Version: req.GetVersion()})
 	return &GrantResponse{Status: string(vote.Status), Answer: toAnswer(vote.Answer), Covers: vote.Covers}, nil
 }
 
--- a/internal/policy/granter/granter.go
+++ b/internal/policy/granter/granter.go
@@ -68,6 +68,42 @@
 	covers  []string
 }
 
+// Ask is an executor's request for an id.
+type Ask struct {
+	ID       string
+	Executor string
+	// Version is the offset of the record that made the group that the executor asks.
+	Version int64
+}
+
+// Standing is what a registrar knows of its own right to grant an id.
+type Standing struct {
+	// Self is the registrar's member ID.
+	Self string
+	// Since is the offset of the record that made the id's present group.
+	Since int64
+	// Confirmed says that the registrar's fold is recent.
+	Confirmed bool
+	// Closed says that the registrar has handed its table over.
+	Closed bool
+}
+
+// Vote answers an executor. Both must know the same present group: so once a majority of a former
+// group has folded its end, nobody obtains an id from that group alone.
+func (t *Table) Vote(now time.Time, ask Ask, st Standing) Vote {
+	v := Vote{From: st.Self}
+	switch {
+	case st.Since > ask.Version:
+		v.Status = Stale
+	case st.Since < ask.Version, st.Closed, !st.Confirmed:
+		v.Status = Behind
+	default:
+		v.Status, v.Answer = t.Grant(now, ask.ID, ask.Executor)
+		v.Covers = t.Covers()
+	}
+	return v
+}
+
 // Grant gives an id to the first executor that asks for it.
 func (t *Table) Grant(now time.Time, id, executor string) (Status, Answer) {
 	t.sweep(now)
@@ -164,18 +200,30 @@
 	}
 }
 
-// Groups returns the registrar groups whose majorities an executor needs for a shard: the present
-// one and each former one that may have granted the id. Expired tells whether a replaced group can
-// hold no grant any more.
-func Groups(sh reducer.Shard, expired func(until int64) bool) (groups [][]string, whole bool) {
-	groups = append(groups, sh.Group)
+// Quorum is a group of registrars and how many of them an executor needs.
+type Quorum struct {
+	Members []string
+	Need    int
+}
+
+// Quorums returns what an executor needs to obtain an id of a shard: a majority of the present group,
+// and of each former group that may hold a grant so many that no majority of it remains. Expired tells
+// whether a former group, replaced at an offset, can hold none any more. Without whole, some former
+// groups that matter are not known, or the present group is not full.
+func Quorums(sh reducer.Shard, expired func(until int64) bool) (quorums []Quorum, whole bool) {
+	n := len(sh.Group)
+	if n < reducer.GroupSize {
+		return nil, false
+	}
+	quorums = append(quorums, Quorum{Members: sh.Group, Need: n/2 + 1})
 	for _, p := range sh.Past {
 		if !expired(p.Until) {
-			groups = append(groups, p.Group)
+			n := len(p.Group)
+			quorums = append(quorums, Quorum{Members: p.Group, Need: n - n/2})
 		}
 	}
 	whole = sh.Forgotten == 0 || expired(sh.Forgotten)
-	return groups, whole
+	return quorums, whole
 }
 
 // Decision is what the votes amount to.
@@ -193,8 +241,8 @@
 	Replay
 )
 
-// Tally weighs the votes against the groups.
-func Tally(groups [][]string, votes []Vote) (Decision, Answer) {
+// Tally weighs the votes against the quorums.
+func Tally(quorums []Quorum, votes []Vote) (Decision, Answer) {
 	for _, v := range votes {
 		if v.Status == Finished {
 			return Replay, v.Answer
@@ -212,20 +260,20 @@
 			}
 		}
 	}
-	for _, g := range groups {
-		if !hasMajority(g, granted) {
+	for _, q := range quorums {
+		if !q.reached(granted) {
 			return Wait, Answer{}
 		}
 	}
 	return Run, Answer{}
 }
 
-func hasMajority(group []string, granted map[string]bool) bool {
+func (q Quorum) reached(granted map[string]bool) bool {
 	n := 0
-	for _, id := range group {
+	for _, id := range q.Members {
 		if granted[id] {
 			n++
 		}
 	}
-	return n > len(group)/2
+	return n >= q.Need
 }
--- a/internal/policy/planner/planner.go
+++ b/internal/policy/planner/planner.go
@@ -14,6 +14,8 @@
 	Self reducer.Member
 	// Silent lists the VMs that nobody has been heard to hear of for the suspect time.
 	Silent []string
+	// Fenced says that an earlier incarnation of this node was removed.
+	Fenced bool
 	// Quorum says that a majority of the witnesses has answered this node of late.
 	Quorum bool
 	// Settled is the highest offset known to be folded by a majority of the witnesses.
@@ -46,9 +48,23 @@
 	if _, ok := s.Members[v.Self.ID()]; ok {
 		return reducer.Record{}, false
 	}
+	if v.Fenced && !heard(s, v) {
+		return reducer.Record{}, false
+	}
 	return reducer.Record{ID: "join-" + v.Self.ID(), Join: &reducer.Join{Member: v.Self}}, true
 }
 
+// heard says whether any other member is not silent. A node that was fenced because it is cut off
+// from its peers would otherwise join and be fenced in turn for as long as it reaches the platform.
+func heard(s *reducer.State, v View) bool {
+	for _, m := range s.Members {
+		if m.VM != v.Self.VM && !slices.Contains(v.Silent, m.VM) {
+			return true
+		}
+	}
+	return len(s.Members) == 0
+}
+
 // planFence removes a silent member. Only a node that reaches a majority of the witnesses may, so a
 // node that is cut off from the others cannot fence them.
 func planFence(s *reducer.State, v View) (reducer.Record, bool) {
--- a/internal/policy/reducer/member.go
+++ b/internal/policy/reducer/member.go
@@ -17,7 +17,8 @@
 // Slots is the number of partitions of rate slices over holders.
 const Slots = 64
 
-// GroupSize is the number of registrars of a shard.
+// GroupSize is the number of registrars of a shard. Smaller groups grant nothing: a grant known to one
+// node only would be lost with it.
 const GroupSize = 3
 
 // pastGroups bounds the former groups that a shard remembers.
@@ -164,9 +165,17 @@
 	}
 }
 
-// regroup picks a shard's group among candidates, in as many data centres as there are.
+// regroup picks a shard's group among candidates, in as many data centres as there are. With too few
+// members it leaves a full group as it is, since a majority of that may still be there.
 func (s *State) regroup(shard int, candidates []string) Shard {
 	old := s.Shards[shard]
+	candidates = slices.DeleteFunc(candidates, func(id string) bool {
+		_, ok := s.Members[id]
+		return !ok
+	})
+	if len(old.Group) == GroupSize && len(candidates) < GroupSize {
+		return old
+	}
 	seed := "shard#" + strconv.Itoa(shard) + "#"
 	ranked := rank(seed, candidates)
 	group := s.spread(ranked, GroupSize)
@@ -174,7 +183,7 @@
 		return old
 	}
 	next := Shard{Group: group, Since: s.Offset, Forgotten: old.Forgotten}
-	if len(old.Group) == 0 {
+	if len(old.Group) < GroupSize {
 		next.Past = old.Past
 		return next
 	}
