Keep client accounts within rate and burst through holder failures

Cause: the new rate table (one account at five times its rate through one node, a small one within its rate through all, ten failures of the slot holder) found a window 2.0 tokens above rate and burst after a holder was cut off and healed. Reports of spent tokens named the borrower, not the loan, so a report that came after its loan had expired ended a later loan that was still unspent; and serials of two holders' terms could be confused. A confirmation was checked after the state it should cover had been read, and GiveBack could name another loan. Ruled out: two live holders (trace of holder, term and fold per token). Change: loans carry serials by term, reports and returned tokens name their loan; the state is read after the confirmation. The meter counts requests that may have run, at the time their token was spent. Also: slices for every two tokens of burst instead of sixteen.

--- a/internal/node/broker/broker.go
+++ b/internal/node/broker/broker.go
@@ -11,6 +11,7 @@
 	"github.com/plantainwheel/plantainwheel/internal/node/guard"
 	"github.com/plantainwheel/plantainwheel/internal/node/roster"
 	"github.com/plantainwheel/plantainwheel/internal/policy/granter"
+	"github.com/plantainwheel/plantainwheel/internal/policy/lender"
 	"github.com/plantainwheel/plantainwheel/internal/policy/reducer"
 	"github.com/plantainwheel/plantainwheel/internal/policy/retrier"
 )
@@ -41,8 +42,8 @@
 
 // Rates spends the tokens of client accounts.
 type Rates interface {
-	Take(ctx context.Context, account reducer.Account) (bool, time.Duration)
-	GiveBack(account reducer.Account)
+	Take(ctx context.Context, account reducer.Account) (lender.Token, time.Duration, error)
+	GiveBack(account reducer.Account, token lender.Token)
 }
 
 // Claims obtains the right to run a request id once.
--- a/internal/node/broker/entry.go
+++ b/internal/node/broker/entry.go
@@ -89,17 +89,24 @@
 	if !b.pathAdmits(route.Name, call) {
 		return refuse(CodeOverload, retrier.NotRun, b.retryAfter(shedRetry))
 	}
-	if account.Name != "" {
-		ok, dry := b.Rates.Take(ctx, account)
-		if !ok {
-			return refuse(CodeRate, retrier.NotRun, b.retryAfter(dry))
-		}
+	if account.Name == "" {
+		return b.noted(ctx, route, call, escrow)
 	}
+	token, dry, err := b.Rates.Take(ctx, account)
+	if err != nil {
+		return refuse(CodeRate, retrier.NotRun, b.retryAfter(dry))
+	}
+	reply := b.noted(ctx, route, call, escrow)
+	if reply.Outcome == retrier.NotRun {
+		b.Rates.GiveBack(account, token)
+	}
+	return reply
+}
+
+// noted dispatches a call and notes the level of the targets that it depended on.
+func (b *Broker) noted(ctx context.Context, route reducer.Route, call Call, escrow *retrier.Escrow) Reply {
 	reply := b.dispatch(ctx, route, call, escrow)
 	b.notePath(route.Name, reply.PathLevel)
-	if reply.Outcome == retrier.NotRun && account.Name != "" {
-		b.Rates.GiveBack(account)
-	}
 	return reply
 }
 
--- a/internal/node/claimer/claimer.go
+++ b/internal/node/claimer/claimer.go
@@ -84,12 +84,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.limit()
-	return c.table.Vote(c.Clock(), req, granter.Standing{
-		Self:      c.Self(),
-		Since:     c.since(shard),
-		Confirmed: c.Fold.Confirmed(),
-		Closed:    c.closed,
-	})
+	// The group is read after the confirmation, which then holds for it too.
+	st := granter.Standing{Self: c.Self(), Confirmed: c.Fold.Confirmed(), Closed: c.closed}
+	st.Since = c.since(shard)
+	return c.table.Vote(c.Clock(), req, st)
 }
 
 func (c *Claimer) limit() {
--- a/internal/node/runner/fleet_test.go
+++ b/internal/node/runner/fleet_test.go
@@ -82,6 +82,7 @@
 	w.mu.Lock()
 	w.vms[name] = v
 	w.mu.Unlock()
+	v.Broker.Rates = meter{v.Teller}
 	v.Start()
 	v.Announce(listener.Announcement{Service: service, Address: "127.0.0.1:1", Slots: 20, Connections: 200})
 	return v
@@ -496,7 +497,13 @@
 }
 
 func (w *world) read(entry, key string) broker.Reply {
-	return w.vms[entry].Broker.Serve(context.Background(), broker.Inbound{
+	return w.readSpent(nil, entry, key)
+}
+
+// readSpent also notes when the request's token was spent.
+func (w *world) readSpent(at *time.Time, entry, key string) broker.Reply {
+	ctx := context.WithValue(context.Background(), spentKey{}, at)
+	return w.vms[entry].Broker.Serve(ctx, broker.Inbound{
 		Method: "GET", Path: "/stock", URI: "/stock", Key: key,
 	})
 }
--- a/internal/node/teller/teller.go
+++ b/internal/node/teller/teller.go
@@ -12,8 +12,10 @@
 	"github.com/plantainwheel/plantainwheel/internal/policy/reducer"
 )
 
-// Sentinel errors of Lend.
+// Sentinel errors of Take and Lend.
 var (
+	// ErrDry says that the account has no token left at present.
+	ErrDry = errors.New("rate is used up")
 	// ErrNotHolder says that this node does not hold the slot, or may not lend from it at present.
 	ErrNotHolder = errors.New("slot is not held here")
 	// ErrNoAccount says that the account is not declared.
@@ -82,6 +84,10 @@
 
 // Lend answers a borrower as the holder of a slot.
 func (t *Teller) Lend(req Request) (lender.Loan, error) {
+	// The state is read after the confirmation, which then holds for it too.
+	if !t.Fold.Confirmed() {
+		return lender.Loan{}, ErrNotHolder
+	}
 	state := t.Fold.State()
 	account, ok := state.Account(req.Account)
 	if !ok {
@@ -92,7 +98,7 @@
 	}
 	n := reducer.SlotOf(req.Account, req.Slice)
 	self := t.Self()
-	if self == "" || state.Slots[n].Holder != self || !t.Fold.Confirmed() {
+	if self == "" || state.Slots[n].Holder != self {
 		return lender.Loan{}, ErrNotHolder
 	}
 	t.mu.Lock()
@@ -149,7 +155,7 @@
 	id := sliceID{req.Account, req.Slice}
 	b, ok := s.buckets[id]
 	if !ok {
-		b = lender.Open(s.opened)
+		b = lender.Open(s.opened, s.since)
 		s.buckets[id] = b
 	}
 	return b
@@ -192,26 +198,26 @@
 	return count
 }
 
-// Take spends one token of an account. Without one it returns when to come back.
-func (t *Teller) Take(ctx context.Context, account reducer.Account) (bool, time.Duration) {
-	if t.takeStocked(account) {
-		return true, 0
+// Take spends one token of an account. Without one it returns ErrDry and when to come back.
+func (t *Teller) Take(ctx context.Context, account reducer.Account) (lender.Token, time.Duration, error) {
+	if token, ok := t.takeStocked(account); ok {
+		return token, 0, nil
 	}
 	start := int(xxhash.Sum64String(t.Self()+account.Name) % uint64(lender.Slices(account.Burst)))
 	for range lender.Slices(account.Burst) {
 		plan, dry, ok := t.planNeed(account, start)
 		if !ok {
-			return false, dry
+			return lender.Token{}, dry, ErrDry
 		}
-		if t.borrow(ctx, account.Name, plan) {
-			return true, 0
+		if token, ok := t.borrow(ctx, account.Name, plan); ok {
+			return token, 0, nil
 		}
 	}
 	_, dry, _ := t.planNeed(account, start)
-	return false, max(dry, time.Millisecond)
+	return lender.Token{}, max(dry, time.Millisecond), ErrDry
 }
 
-func (t *Teller) takeStocked(account reducer.Account) bool {
+func (t *Teller) takeStocked(account reducer.Account) (lender.Token, bool) {
 	t.stockMu.Lock()
 	defer t.stockMu.Unlock()
 	return t.stock(account).Take(t.Clock())
@@ -224,10 +230,10 @@
 }
 
 // GiveBack returns a token of a request that did not run.
-func (t *Teller) GiveBack(account reducer.Account) {
+func (t *Teller) GiveBack(account reducer.Account, token lender.Token) {
 	t.stockMu.Lock()
 	defer t.stockMu.Unlock()
-	t.stock(account).GiveBack()
+	t.stock(account).GiveBack(token)
 }
 
 func (t *Teller) stock(account reducer.Account) *lender.Stock {
@@ -244,7 +250,7 @@
 }
 
 // borrow asks a slice's holder and books the answer.
-func (t *Teller) borrow(ctx context.Context, account string, plan lender.Plan) bool {
+func (t *Teller) borrow(ctx context.Context, account string, plan lender.Plan) (lender.Token, bool) {
 	askedAt := t.Clock()
 	loan, err := t.ask(ctx, account, plan)
 	now := t.Clock()
@@ -253,7 +259,7 @@
 	stock := t.stocks[account]
 	if err != nil {
 		stock.Failed(now, plan, failRetry)
-		return false
+		return lender.Token{}, false
 	}
 	return stock.Receive(now, askedAt, Terms, plan, loan)
 }
@@ -261,7 +267,7 @@
 func (t *Teller) ask(ctx context.Context, account string, plan lender.Plan) (lender.Loan, error) {
 	self := t.Self()
 	req := Request{Account: account, Slice: plan.Slice, Ask: lender.Ask{
-		From: self, Need: plan.Need, Want: plan.Want, Spent: plan.Spent, Returned: plan.Returned,
+		Need: plan.Need, Want: plan.Want, Reports: plan.Reports,
 	}}
 	holder := t.Fold.State().Slots[reducer.SlotOf(account, plan.Slice)].Holder
 	if holder == self && self != "" {
--- a/internal/peer/messenger/client.go
+++ b/internal/peer/messenger/client.go
@@ -139,18 +139,20 @@
 		return lender.Loan{}, err
 	}
 	resp, err := p.Borrow(ctx, &BorrowRequest{
-		From:     req.Ask.From,
-		Account:  req.Account,
-		Slice:    int32(req.Slice),
-		Need:     int32(req.Ask.Need),
-		Want:     int32(req.Ask.Want),
-		Spent:    int32(req.Ask.Spent),
-		Returned: int32(req.Ask.Returned),
+		Account: req.Account,
+		Slice:   int32(req.Slice),
+		Need:    int32(req.Ask.Need),
+		Want:    int32(req.Ask.Want),
+		Reports: toReports(req.Ask.Reports),
 	})
 	if err != nil {
 		return lender.Loan{}, fmt.Errorf("borrow from %s: %w", member, err)
 	}
-	return lender.Loan{Granted: int(resp.GetGranted()), Dry: time.Duration(resp.GetDryMs()) * time.Millisecond}, nil
+	return lender.Loan{
+		Granted: int(resp.GetGranted()),
+		Serial:  resp.GetSerial(),
+		Dry:     time.Duration(resp.GetDryMs()) * time.Millisecond,
+	}, nil
 }
 
 // Grant implements claimer.Peers.
--- a/internal/peer/messenger/messenger.go
+++ b/internal/peer/messenger/messenger.go
@@ -14,6 +14,7 @@
 	"github.com/plantainwheel/plantainwheel/internal/node/steward"
 	"github.com/plantainwheel/plantainwheel/internal/platform/client"
 	"github.com/plantainwheel/plantainwheel/internal/policy/granter"
+	"github.com/plantainwheel/plantainwheel/internal/policy/lender"
 	"github.com/plantainwheel/plantainwheel/internal/policy/reducer"
 	"github.com/plantainwheel/plantainwheel/internal/policy/retrier"
 )
@@ -280,6 +281,26 @@
 	return out
 }
 
+func toReports(list []lender.Report) []*LoanReport {
+	out := make([]*LoanReport, len(list))
+	for i, r := range list {
+		out[i] = &LoanReport{Serial: r.Serial, Spent: int32(r.Spent), Returned: int32(r.Returned)}
+	}
+	return out
+}
+
+func fromReports(list []*LoanReport) []lender.Report {
+	out := make([]lender.Report, len(list))
+	for i, r := range list {
+		out[i] = lender.Report{
+			Serial:   r.GetSerial(),
+			Spent:    max(int(r.GetSpent()), 0),
+			Returned: max(int(r.GetReturned()), 0),
+		}
+	}
+	return out
+}
+
 // stamper puts hybrid logical times and the fleet's credential on requests.
 type stamper struct {
 	next   http.RoundTripper
--- a/internal/peer/messenger/server.go
+++ b/internal/peer/messenger/server.go
@@ -70,11 +70,9 @@
 // Borrow implements Peer.
 func (s *Server) Borrow(_ context.Context, req *BorrowRequest) (*BorrowResponse, error) {
 	ask := lender.Ask{
-		From:     req.GetFrom(),
-		Need:     max(int(req.GetNeed()), 0),
-		Want:     max(int(req.GetWant()), 0),
-		Spent:    max(int(req.GetSpent()), 0),
-		Returned: max(int(req.GetReturned()), 0),
+		Need:    max(int(req.GetNeed()), 0),
+		Want:    max(int(req.GetWant()), 0),
+		Reports: fromReports(req.GetReports()),
 	}
 	loan, err := s.Teller.Lend(teller.Request{Account: req.GetAccount(), Slice: int(req.GetSlice()), Ask: ask})
 	if err != nil {
@@ -82,7 +80,7 @@
 	}
 	// Rounding up keeps the borrower from asking too early.
 	dry := (loan.Dry + time.Millisecond - 1).Milliseconds()
-	return &BorrowResponse{Granted: int32(loan.Granted), DryMs: dry}, nil
+	return &BorrowResponse{Granted: int32(loan.Granted), Serial: loan.Serial, DryMs: dry}, nil
 }
 
 // Grant implements Peer.
--- a/internal/policy/lender/lender.go
+++ b/internal/policy/lender/lender.go
@@ -18,7 +18,7 @@
 }
 
 // burstPerSlice is the least burst that a slice of an account should keep, in tokens.
-const burstPerSlice = 16
+const burstPerSlice = 2
 
 // maxSlices bounds the slices of one account.
 const maxSlices = 8
@@ -42,39 +42,48 @@
 //
 // Tokens in the bucket and tokens on loan together never exceed the burst.
 type Bucket struct {
-	level float64
-	at    time.Time
-	loans []loan
+	level  float64
+	at     time.Time
+	loans  []loan
+	serial int64
 }
 
 type loan struct {
-	from    string
+	serial  int64
 	n       int
 	expires time.Time
 }
 
-// Open makes an empty bucket that fills from a time on.
-func Open(from time.Time) *Bucket { return &Bucket{at: from} }
+// Open makes an empty bucket that fills from a time on. Term numbers the holder's term, so that loans
+// of different terms never share a serial.
+func Open(from time.Time, term int64) *Bucket { return &Bucket{at: from, serial: term << termBits} }
+
+// termBits leaves room for the serials of one term.
+const termBits = 32
 
 // Loan is a lender's answer.
 type Loan struct {
 	// Granted counts the needed tokens first.
 	Granted int
+	// Serial numbers the loan of the needed tokens; the next number is that of the others.
+	Serial int64
 	// Dry is when the next token is expected, from now; 0 if there are some left.
 	Dry time.Duration
 }
 
 // Lend deducts tokens for a borrower: need for requests that wait, want in all. The borrower reports
-// how many of its earlier loans it has spent and how many it gives back.
+// what has become of its earlier loans. A report on a loan that has expired here changes nothing.
 func (b *Bucket) Lend(now time.Time, rate float64, burst int, terms Terms, ask Ask) Loan {
 	b.advance(now, rate, burst)
-	b.settle(ask.From, ask.Spent)
-	b.level += float64(b.settle(ask.From, ask.Returned))
+	for _, r := range ask.Reports {
+		b.settle(r.Serial, r.Spent)
+		b.level += float64(b.settle(r.Serial, r.Returned))
+	}
 	n := b.affordable(ask, burst)
 	b.level -= float64(n)
-	b.lend(ask.From, min(n, ask.Need), now.Add(terms.Need+terms.Margin))
-	b.lend(ask.From, n-min(n, ask.Need), now.Add(terms.Loan+terms.Margin))
-	out := Loan{Granted: n}
+	out := Loan{Granted: n, Serial: b.serial}
+	b.lend(min(n, ask.Need), now.Add(terms.Need+terms.Margin))
+	b.lend(n-min(n, ask.Need), now.Add(terms.Loan+terms.Margin))
 	if b.level < 1 {
 		out.Dry = time.Duration((1 - b.level) / rate * float64(time.Second))
 	}
@@ -83,9 +92,14 @@
 
 // Ask is a borrower's request.
 type Ask struct {
-	From     string
-	Need     int
-	Want     int
+	Need    int
+	Want    int
+	Reports []Report
+}
+
+// Report says what has become of a loan since the last report on it.
+type Report struct {
+	Serial   int64
 	Spent    int
 	Returned int
 }
@@ -98,10 +112,11 @@
 	return max(need, min(ask.Want, spare))
 }
 
-func (b *Bucket) lend(from string, n int, expires time.Time) {
+func (b *Bucket) lend(n int, expires time.Time) {
 	if n > 0 {
-		b.loans = append(b.loans, loan{from, n, expires})
+		b.loans = append(b.loans, loan{b.serial, n, expires})
 	}
+	b.serial++
 }
 
 // advance fills the bucket up to now. Each loan counts against the burst until it expires.
@@ -114,12 +129,12 @@
 	b.refill(now, rate, burst)
 }
 
-// settle ends up to n tokens of a borrower's loans and returns how many it found.
-func (b *Bucket) settle(from string, n int) int {
+// settle ends up to n tokens of a loan and returns how many it found.
+func (b *Bucket) settle(serial int64, n int) int {
 	left := n
 	kept := b.loans[:0]
 	for _, l := range b.loans {
-		if l.from == from {
+		if l.serial == serial {
 			used := min(left, l.n)
 			left -= used
 			l.n -= used
--- /dev/null
+++ b/internal/policy/lender/lender_test.go
@@ -0,0 +1,176 @@
+package lender_test
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/plantainwheel/plantainwheel/internal/policy/lender"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+func init() {
+	_ = flag.Set("rapid.checks", "1500")
+	_ = flag.Set("rapid.steps", "200")
+	_ = flag.Set("rapid.seed", "20261203")
+	_ = flag.Set("rapid.nofailfile", "true")
+}
+
+// waits are in milliseconds.
+var waits = []int{1, 1, 2, 5, 20, 90, 140, 400, 990}
+
+var (
+	terms = lender.Terms{Loan: time.Second, Need: 100 * time.Millisecond, Margin: 50 * time.Millisecond}
+	epoch = time.Date(2026, 12, 3, 0, 0, 0, 0, time.UTC)
+)
+
+// message is a plan on its way to the lender, or its answer on the way back.
+type message struct {
+	borrower int
+	askedAt  time.Time
+	plan     lender.Plan
+	loan     *lender.Loan
+}
+
+// ledger replays the spent tokens against the declared bucket.
+type ledger struct {
+	level float64
+	at    time.Time
+}
+
+func (l *ledger) spend(now time.Time, rate float64, burst int) bool {
+	l.level = min(float64(burst), l.level+rate*now.Sub(l.at).Seconds())
+	l.at = now
+	l.level--
+	return l.level >= -1e-6
+}
+
+// TestNeverAboveRateAndBurst checks one slice with several borrowers against random orders of demand,
+// delay, loss of either message, and changes of the holder.
+func TestNeverAboveRateAndBurst(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		rate := rapid.Float64Range(20, 2000).Draw(t, "rate")
+		burst := rapid.IntRange(1, 40).Draw(t, "burst")
+		term := int64(1)
+		now := epoch
+		bucket := lender.Open(now.Add(-time.Hour), term)
+		stocks := make([]lender.Stock, 3)
+		for i := range stocks {
+			stocks[i].Resize(1)
+		}
+		var under []message
+		spent := &ledger{level: float64(burst), at: now}
+		spend := func(t *rapid.T) {
+			if !spent.spend(now, rate, burst) {
+				t.Fatalf("a window exceeds rate %.1f and burst %d by %.2f", rate, burst, -spent.level)
+			}
+		}
+		take := func(t *rapid.T) {
+			i := rapid.IntRange(0, 2).Draw(t, "borrower")
+			if token, ok := stocks[i].Take(now); ok {
+				if rapid.IntRange(0, 4).Draw(t, "did not run") == 0 {
+					stocks[i].GiveBack(token)
+					return
+				}
+				spend(t)
+				return
+			}
+			if plan, _, ok := stocks[i].PlanNeed(now, 0); ok {
+				under = append(under, message{borrower: i, askedAt: now, plan: plan})
+			}
+		}
+		step := func(t *rapid.T) {
+			if len(under) == 0 {
+				return
+			}
+			n := rapid.IntRange(0, len(under)-1).Draw(t, "message")
+			m := under[n]
+			under = append(under[:n:n], under[n+1:]...)
+			if rapid.IntRange(0, 9).Draw(t, "fate") == 0 {
+				return
+			}
+			if m.loan != nil {
+				if _, ok := stocks[m.borrower].Receive(now, m.askedAt, terms, m.plan, *m.loan); ok {
+					spend(t)
+				}
+				return
+			}
+			ask := lender.Ask{Need: m.plan.Need, Want: m.plan.Want, Reports: m.plan.Reports}
+			loan := bucket.Lend(now, rate, burst, terms, ask)
+			m.loan = &loan
+			under = append(under, m)
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"take": take, "take again": take, "take more": take,
+			"step": step, "step again": step, "step more": step,
+			"wait": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.SampledFrom(waits).Draw(t, "ms")) * time.Millisecond)
+			},
+			"new holder": func(t *rapid.T) {
+				if rapid.IntRange(0, 19).Draw(t, "rare") == 0 {
+					now = now.Add(terms.Loan + terms.Margin)
+					term++
+					bucket = lender.Open(now, term)
+				}
+			},
+		})
+	})
+}
+
+// TestShare checks that the slices add up to what is declared.
+func TestShare(t *testing.T) {
+	for _, burst := range []int{1, 15, 16, 33, 100, 1000, 12345} {
+		t.Run(fmt.Sprint(burst), func(t *testing.T) {
+			rates, bursts := 0.0, 0
+			for i := range lender.Slices(burst) {
+				r, b := lender.Share(80, burst, i)
+				rates += r
+				bursts += b
+			}
+			assert.Equal(t, rates, 80.0)
+			assert.Equal(t, bursts, burst)
+		})
+	}
+}
+
+// TestLoansCountUntilTheyEnd checks one slice of rate 10/s and burst 10 step by step.
+func TestLoansCountUntilTheyEnd(t *testing.T) {
+	type step struct {
+		// at is in milliseconds from the start.
+		at   int
+		ask  lender.Ask
+		want int
+	}
+	all := lender.Ask{Need: 10, Want: 10}
+	report := func(serial int64, spent, returned int) lender.Ask {
+		return lender.Ask{Need: 10, Reports: []lender.Report{{Serial: serial, Spent: spent, Returned: returned}}}
+	}
+	first := int64(1) << 32
+	cases := []struct {
+		name  string
+		steps []step
+	}{
+		{"a loan fills no room before it has expired", []step{{0, all, 10}, {140, all, 0}, {160, all, 0}, {1140, all, 9}}},
+		{"a spent loan makes room at once", []step{{0, all, 10}, {100, report(first, 10, 0), 0}, {600, all, 5}}},
+		{"a returned loan is there at once", []step{{0, all, 10}, {100, report(first, 0, 4), 4}}},
+		{"a late report frees no other loan", []step{
+			{0, lender.Ask{Need: 5}, 5},
+			{160, lender.Ask{Need: 5}, 5},
+			{161, report(first, 5, 0), 0},
+			{162, report(first, 0, 5), 0},
+		}},
+		{"a report on another term changes nothing", []step{{0, all, 10}, {10, report(5, 10, 0), 0}, {140, report(5, 0, 10), 0}}},
+		{"nobody returns more than was lent", []step{{0, lender.Ask{Need: 4}, 4}, {1, report(first, 0, 100), 10}}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			b := lender.Open(epoch.Add(-time.Hour), 1)
+			for _, s := range c.steps {
+				now := epoch.Add(time.Duration(s.at) * time.Millisecond)
+				assert.Equal(t, b.Lend(now, 10, 10, terms, s.ask).Granted, s.want, "at %d ms", s.at)
+			}
+		})
+	}
+}
--- a/internal/policy/lender/stock.go
+++ b/internal/policy/lender/stock.go
@@ -22,17 +22,35 @@
 
 type lot struct {
 	slice   int
+	serial  int64
 	n       int
 	expires time.Time
 }
 
 type sliceView struct {
 	dryUntil time.Time
-	spent    int
-	returned int
+	reports  []Report
 	asked    bool
 }
 
+// maxReports bounds the reports that wait for the next loan.
+const maxReports = 256
+
+// report returns the entry for a loan. Reports beyond the bound are dropped, oldest first: the lender
+// then counts those loans until they expire.
+func (v *sliceView) report(serial int64) *Report {
+	for i := range v.reports {
+		if v.reports[i].Serial == serial {
+			return &v.reports[i]
+		}
+	}
+	if len(v.reports) == maxReports {
+		v.reports = v.reports[1:]
+	}
+	v.reports = append(v.reports, Report{Serial: serial})
+	return &v.reports[len(v.reports)-1]
+}
+
 // Resize adapts to the number of slices of the account.
 func (s *Stock) Resize(n int) {
 	if len(s.slices) != n {
@@ -41,18 +59,24 @@
 	}
 }
 
+// Token is one token that was spent. It can be given back.
+type Token struct {
+	Slice  int
+	Serial int64
+}
+
 // Take spends one token if there is any.
-func (s *Stock) Take(now time.Time) bool {
+func (s *Stock) Take(now time.Time) (Token, bool) {
 	s.note(now)
 	for i := range s.lots {
 		l := &s.lots[i]
 		if l.n > 0 && now.Before(l.expires) {
 			l.n--
-			s.slices[l.slice].spent++
-			return true
+			s.slices[l.slice].report(l.serial).Spent++
+			return Token{l.slice, l.serial}, true
 		}
 	}
-	return false
+	return Token{}, false
 }
 
 // note counts one demand in the decaying rate.
@@ -75,11 +99,10 @@
 
 // Plan is a loan to ask for.
 type Plan struct {
-	Slice    int
-	Need     int
-	Want     int
-	Spent    int
-	Returned int
+	Slice   int
+	Need    int
+	Want    int
+	Reports []Report
 }
 
 // PlanNeed picks the slice to ask for one token that a request waits for, starting the search at a
@@ -120,8 +143,8 @@
 func (s *Stock) plan(now time.Time, slice, need int) Plan {
 	s.drop(now)
 	v := &s.slices[slice]
-	p := Plan{Slice: slice, Need: need, Spent: v.spent, Returned: v.returned}
-	v.spent, v.returned = 0, 0
+	p := Plan{Slice: slice, Need: need, Reports: v.reports}
+	v.reports = nil
 	p.Want = need
 	if s.demand >= idle {
 		p.Want += int(s.demand * prefetch.Seconds())
@@ -150,11 +173,11 @@
 	return n
 }
 
-// Receive books a loan that was asked for at askedAt. It reports whether the needed token may be
-// spent now.
-func (s *Stock) Receive(now, askedAt time.Time, terms Terms, plan Plan, loan Loan) bool {
+// Receive books a loan that was asked for at askedAt. It spends the needed token if that has come in
+// time.
+func (s *Stock) Receive(now, askedAt time.Time, terms Terms, plan Plan, loan Loan) (Token, bool) {
 	if plan.Slice >= len(s.slices) {
-		return false
+		return Token{}, false
 	}
 	v := &s.slices[plan.Slice]
 	v.asked = false
@@ -162,12 +185,12 @@
 		v.dryUntil = now.Add(loan.Dry)
 	}
 	needed := min(plan.Need, loan.Granted)
-	s.lots = append(s.lots, lot{plan.Slice, loan.Granted - needed, askedAt.Add(terms.Loan)})
+	s.lots = append(s.lots, lot{plan.Slice, loan.Serial + 1, loan.Granted - needed, askedAt.Add(terms.Loan)})
 	if needed == 0 || !now.Before(askedAt.Add(terms.Need)) {
-		return false
+		return Token{}, false
 	}
-	v.spent++
-	return true
+	v.report(loan.Serial).Spent++
+	return Token{plan.Slice, loan.Serial}, true
 }
 
 // Failed books a loan that was not answered. Whatever was granted is lost.
@@ -178,13 +201,17 @@
 	}
 }
 
-// GiveBack returns a token that was taken for a request that did not run after all.
-func (s *Stock) GiveBack() {
-	for i := range s.slices {
-		v := &s.slices[i]
-		if v.spent > 0 {
-			v.spent--
-			v.returned++
+// GiveBack returns a token that was taken for a request that did not run after all. A token whose
+// spending was already reported is lost.
+func (s *Stock) GiveBack(token Token) {
+	if token.Slice >= len(s.slices) {
+		return
+	}
+	for i := range s.slices[token.Slice].reports {
+		r := &s.slices[token.Slice].reports[i]
+		if r.Serial == token.Serial && r.Spent > 0 {
+			r.Spent--
+			r.Returned++
 			return
 		}
 	}
