--- a/internal/node/runner/fleet_test.go
+++ b/internal/node/runner/fleet_test.go
@@ -32,15 +32,14 @@
 
 // world is a fake of everything between the nodes: links, the platform and the targets.
 type world struct {
-	t     *testing.T
-	log   *fakeLog
-	mu    sync.Mutex
-	vms   map[string]*vm
-	cuts  map[string]bool
-	quiet map[string]bool
-	lost  int
-	// lastAttempt numbers the attempts of callers.
-	lastAttempt int
+	t    *testing.T
+	log  *fakeLog
+	mu   sync.Mutex
+	vms  map[string]*vm
+	cuts map[string]bool
+	lost int
+	// snapshotEvery replaces the default setting.
+	snapshotEvery time.Duration
 }
 
 // vm is one VM with its node and its target.
@@ -55,7 +54,7 @@
 }
 
 func newWorld(t *testing.T) *world {
-	w := &world{t: t, vms: map[string]*vm{}, cuts: map[string]bool{}, quiet: map[string]bool{}}
+	w := &world{t: t, vms: map[string]*vm{}, cuts: map[string]bool{}}
 	w.log = &fakeLog{grown: make(chan struct{})}
 	t.Cleanup(func() {
 		for name := range w.vms {
@@ -72,6 +71,9 @@
 	cfg.Confirmation.Duration = 2 * time.Second
 	cfg.ExchangeEvery.Duration = 200 * time.Millisecond
 	cfg.SuspectAfter.Duration = 3 * time.Second
+	if w.snapshotEvery > 0 {
+		cfg.SnapshotEvery.Duration = w.snapshotEvery
+	}
 	cfg.Seeds = []string{"a1:1", "b1:1"}
 	v := &vm{name: name, address: cfg.PeerListen, service: service, target: &fakeTarget{took: 5 * time.Millisecond}}
 	if old := w.vms[name]; old != nil {
--- a/internal/node/runner/rate_test.go
+++ b/internal/node/runner/rate_test.go
@@ -24,7 +24,7 @@
 
 func (m meter) Take(ctx context.Context, account reducer.Account) (lender.Token, time.Duration, error) {
 	token, dry, err := m.Rates.Take(ctx, account)
-	if at, ok := ctx.Value(spentKey{}).(*time.Time); ok && err == nil {
+	if at, ok := ctx.Value(spentKey{}).(*time.Time); ok && at != nil && err == nil {
 		*at = time.Now()
 	}
 	return token, dry, err
--- /dev/null
+++ b/internal/policy/confirmer/confirmer_test.go
@@ -0,0 +1,78 @@
+package confirmer_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/plantainwheel/plantainwheel/internal/policy/confirmer"
+	"github.com/plantainwheel/plantainwheel/internal/policy/reducer"
+	"gotest.tools/v3/assert"
+)
+
+var epoch = time.Date(2026, 12, 3, 0, 0, 0, 0, time.UTC)
+
+func at(ms int) time.Time { return epoch.Add(time.Duration(ms) * time.Millisecond) }
+
+// stateAt has three witnesses since offset 5 that replaced two others.
+func stateAt(offset int64) *reducer.State {
+	s := reducer.New()
+	s.Offset = offset
+	s.Witness = reducer.WitnessState{Since: 5, Members: []string{"a", "b", "c"}, Previous: []string{"x", "y", "z"}}
+	return s
+}
+
+// TestConfirmed checks which evidence confirms a node that has folded offset 10, at 2,000 ms, with a
+// window of 1,000 ms.
+func TestConfirmed(t *testing.T) {
+	settled := func(c *confirmer.Table) { c.Settle(at(0), 5) }
+	cases := []struct {
+		name string
+		have func(*confirmer.Table)
+		want bool
+	}{
+		{"nothing", func(*confirmer.Table) {}, false},
+		{"head read", func(c *confirmer.Table) { c.Head(at(1500), 10) }, true},
+		{"head read long ago", func(c *confirmer.Table) { c.Head(at(900), 10) }, false},
+		{"head is ahead of the fold", func(c *confirmer.Table) { c.Head(at(1500), 11) }, false},
+		{"peer was confirmed", func(c *confirmer.Table) { c.Peer(at(1800), 300*time.Millisecond, 10) }, true},
+		{"ages add up", func(c *confirmer.Table) { c.Peer(at(1500), 600*time.Millisecond, 10) }, false},
+		{"peer is ahead", func(c *confirmer.Table) { c.Peer(at(1900), 0, 11) }, false},
+		{"majority of witnesses", func(c *confirmer.Table) { settled(c); c.Ack(at(1500), "a", 10); c.Ack(at(1500), "b", 9) }, true},
+		{"minority of witnesses", func(c *confirmer.Table) { settled(c); c.Ack(at(1500), "a", 10) }, false},
+		{"one of the majority is ahead", func(c *confirmer.Table) { settled(c); c.Ack(at(1500), "a", 10); c.Ack(at(1500), "b", 11) }, false},
+		{"one of the majority is old", func(c *confirmer.Table) { settled(c); c.Ack(at(1500), "a", 10); c.Ack(at(500), "b", 10) }, false},
+		{"new witnesses are not settled", func(c *confirmer.Table) { c.Ack(at(1500), "a", 4); c.Ack(at(1500), "b", 4) }, false},
+		{"both sets", func(c *confirmer.Table) {
+			for _, id := range []string{"a", "b", "x", "y"} {
+				c.Ack(at(1500), id, 4)
+			}
+		}, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			table := &confirmer.Table{Window: time.Second, Margin: 500 * time.Millisecond}
+			c.have(table)
+			table.Update(at(2000), stateAt(10))
+			assert.Equal(t, table.Confirmed(at(2000)), c.want)
+		})
+	}
+}
+
+// TestSettled checks that an offset is settled by a majority of both witness sets, and when those that
+// have not folded it must have stopped.
+func TestSettled(t *testing.T) {
+	table := &confirmer.Table{Window: time.Second, Margin: 500 * time.Millisecond}
+	s := stateAt(10)
+	for _, id := range []string{"a", "b", "x"} {
+		table.Ack(at(10), id, 8)
+	}
+	table.Update(at(20), s)
+	assert.Equal(t, table.Settled(), int64(0), "the previous set has no majority yet")
+	s.Witness.Ended = []string{"y"}
+	table.Update(at(30), s)
+	assert.Equal(t, table.Settled(), int64(8), "a witness that has ended confirms nobody any more")
+	assert.Assert(t, !table.Expired(at(1500), 8, 0))
+	assert.Assert(t, table.Expired(at(1531), 8, 0))
+	assert.Assert(t, !table.Expired(at(1531), 9, 0))
+	assert.Assert(t, !table.Expired(at(1531), 8, time.Second))
+}
