Add load generator, reports and the demonstration of a surge

Change: assembler of a fleet over loopback in one process, generator with arrivals fixed in advance and clients that retry hard, reporter as table, JSON and page. Ruled out: nothing yet; this is the first measurement.

--- /dev/null
+++ b/internal/load/demonstrator/demonstrator.go
@@ -0,0 +1,209 @@
+// Package demonstrator compares a fleet with and without control through one surge.
+package demonstrator
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/plantainwheel/plantainwheel/internal/load/assembler"
+	"github.com/plantainwheel/plantainwheel/internal/load/generator"
+	"github.com/plantainwheel/plantainwheel/internal/load/reporter"
+	"github.com/plantainwheel/plantainwheel/internal/policy/reducer"
+	"github.com/plantainwheel/plantainwheel/internal/setting/loader"
+)
+
+// Demonstrator runs the comparison.
+type Demonstrator struct {
+	// Prefix is the first three numbers of the loopback addresses.
+	Prefix string
+	// Factor is the surge as a multiple of the base rate.
+	Factor float64
+	// Base is the rate before and after the surge, in requests per second.
+	Base float64
+	// Before, Surge and After are the lengths of the phases.
+	Before, Surge, After time.Duration
+	// SlowFactor slows the deepest service during the surge; 0 leaves it.
+	SlowFactor float64
+}
+
+// Default returns a demonstration that lasts well under a minute.
+func Default() Demonstrator {
+	return Demonstrator{
+		Prefix: "127.30.1",
+		Factor: 10,
+		Base:   300,
+		Before: 4 * time.Second,
+		Surge:  5 * time.Second,
+		After:  5 * time.Second,
+	}
+}
+
+const (
+	serviceTime = 20 * time.Millisecond
+	orderSlots  = 6
+	stockSlots  = 8
+	timeout     = 800 * time.Millisecond
+	// naiveRetries are the retries of targets and callers that no control bounds.
+	naiveRetries = 2
+	attempts     = 4
+	backoff      = 20 * time.Millisecond
+)
+
+// Run runs the fleet with control and then without.
+func (d Demonstrator) Run(ctx context.Context) ([]reporter.Report, error) {
+	var reports []reporter.Report
+	for _, control := range []bool{true, false} {
+		r, err := d.RunOne(ctx, control)
+		if err != nil {
+			return nil, err
+		}
+		reports = append(reports, r)
+	}
+	return reports, nil
+}
+
+// RunOne runs the fleet once.
+func (d Demonstrator) RunOne(ctx context.Context, control bool) (reporter.Report, error) {
+	fleet, err := assembler.Start(ctx, d.spec(control))
+	if err != nil {
+		return reporter.Report{}, fmt.Errorf("demo: %w", err)
+	}
+	defer fleet.Close()
+	plan := d.plan(fleet)
+	g := &generator.Generator{Plan: plan, Client: generator.NewClient(1000)}
+	results, err := g.Run(ctx)
+	if err != nil {
+		return reporter.Report{}, fmt.Errorf("demo: %w", err)
+	}
+	name := "without control"
+	if control {
+		name = "with control"
+	}
+	return reporter.Summarize(name, plan, results), nil
+}
+
+func (d Demonstrator) spec(control bool) assembler.Spec {
+	retries := 0
+	if !control {
+		retries = naiveRetries
+	}
+	return assembler.Spec{
+		Prefix:      d.Prefix,
+		DataCentres: []string{"bogota-1", "bogota-2", "bogota-3"},
+		Services: []assembler.Service{
+			{
+				Name: "orders", Targets: 3, Slots: orderSlots, Connections: 800,
+				ServiceTime: serviceTime, Children: []string{"/stock/7"}, ChildRetries: retries,
+			},
+			{Name: "stock", Targets: 4, Slots: stockSlots, Connections: 600, ServiceTime: serviceTime},
+		},
+		Declarations: d.declarations(),
+		Control:      control,
+	}
+}
+
+// client is one client account of the demonstration.
+type client struct {
+	name  string
+	share float64
+	// rate is a multiple of the base rate.
+	rate float64
+}
+
+// clients are a few large client accounts and some small ones.
+var clients = []client{
+	{"andes", 0.45, 3},
+	{"bazar", 0.25, 2},
+	{"casa", 0.2, 2},
+	{"dalia", 0.06, 1},
+	{"elena", 0.04, 1},
+}
+
+func (d Demonstrator) declarations() []loader.Declaration {
+	list := []loader.Declaration{
+		declare(reducer.KindService, "orders", reducer.Service{Slots: orderSlots, Connections: 800}),
+		declare(reducer.KindService, "stock", reducer.Service{Slots: stockSlots, Connections: 600}),
+		declare(reducer.KindRoute, "order", reducer.Route{
+			Service: "orders", Method: "POST", Path: "/orders", Importance: reducer.Critical, TimeoutMS: 800,
+		}),
+		declare(reducer.KindRoute, "stock", reducer.Route{
+			Service: "stock", Method: "GET", Path: "/stock", Idempotent: true, Importance: reducer.Normal, TimeoutMS: 800,
+		}),
+		declare(reducer.KindRoute, "browse", reducer.Route{
+			Service: "stock", Method: "GET", Path: "/patterns", Idempotent: true, Importance: reducer.Low, TimeoutMS: 800,
+		}),
+	}
+	for _, c := range clients {
+		sum := sha256.Sum256([]byte("key-" + c.name))
+		account := reducer.Account{Rate: d.Base * c.rate, Burst: int(d.Base * c.rate)}
+		list = append(list,
+			declare(reducer.KindAccount, c.name, account),
+			declare(reducer.KindKey, c.name+"-1", reducer.Key{Account: c.name, Hash: hex.EncodeToString(sum[:])}))
+	}
+	return list
+}
+
+func declare(kind reducer.Kind, name string, spec any) loader.Declaration {
+	data, err := json.Marshal(spec)
+	if err != nil {
+		panic(err)
+	}
+	return loader.Declaration{Kind: kind, Name: name, Spec: data}
+}
+
+func (d Demonstrator) plan(fleet *assembler.Fleet) generator.Plan {
+	plan := generator.Plan{
+		Entries:  fleet.Callers(),
+		Duration: loader.Duration{Duration: d.Before + d.Surge + d.After},
+		Seed:     1,
+		Phases: []generator.Phase{
+			{Rate: d.Base},
+			{At: loader.Duration{Duration: d.Before}, Rate: d.Base * d.Factor, Surge: true},
+			{At: loader.Duration{Duration: d.Before + d.Surge}, Rate: d.Base},
+		},
+	}
+	for _, c := range clients {
+		plan.Rates = append(plan.Rates, generator.Rate{Account: c.name, Rate: d.Base * c.rate, Burst: int(d.Base * c.rate)})
+		plan.Classes = append(plan.Classes, classes(c)...)
+	}
+	if d.SlowFactor > 0 {
+		plan.Faults = d.slow(fleet)
+	}
+	return plan
+}
+
+func classes(c client) []generator.Class {
+	class := func(name, method, path, importance string, share float64) generator.Class {
+		return generator.Class{
+			Name: name, Method: method, Path: path, Importance: importance, Share: c.share * share,
+			Account: c.name, Key: "key-" + c.name, WithID: method == "POST",
+			Timeout: loader.Duration{Duration: timeout}, Attempts: attempts, Backoff: loader.Duration{Duration: backoff},
+		}
+	}
+	return []generator.Class{
+		class("order", "POST", "/orders", "critical", 0.1),
+		class("stock", "GET", "/stock/1", "normal", 0.4),
+		class("browse", "GET", "/patterns", "low", 0.5),
+	}
+}
+
+// slow makes the deepest service slow during the surge.
+func (d Demonstrator) slow(fleet *assembler.Fleet) []generator.Fault {
+	var list []generator.Fault
+	set := func(at time.Duration, factor float64) {
+		for _, t := range fleet.Targets("stock") {
+			list = append(list, generator.Fault{
+				At:   loader.Duration{Duration: at},
+				URL:  "http://" + t.Config.Address + "/stand-in/faults",
+				Body: fmt.Sprintf(`{"slow-factor":%v}`, factor),
+			})
+		}
+	}
+	set(d.Before, d.SlowFactor)
+	set(d.Before+d.Surge, 1)
+	return list
+}
--- a/internal/setting/loader/loader.go
+++ b/internal/setting/loader/loader.go
@@ -281,3 +281,12 @@
 	}
 	return nil
 }
+
+// ReadFile reads any file of JSON with comments into v and refuses unknown fields.
+func ReadFile(path string, v any) error {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return fmt.Errorf("read file: %w", err)
+	}
+	return decode(path, data, v)
+}
