Shed the less important first, everywhere: level grows from small steps

Cause: at 10x only 87% of important calls completed. Probing the nodes' levels in the surge showed two faults: after each shrink the level jumped back to the maximum, because entry nodes refuse what is above the level and the target sees no demand there; and the orders service, whose calls hold a slot for 45 ms and more, counted 20 ms of queueing as overload and shed critical calls with capacity left. Ruled out: the adaptive concurrency limit (stayed at the slots) and idle targets (all slots of the deep service were busy). Change: growth starts at 4 of 512 priorities and doubles per 100 ms window; the queueing target is at least the time for which calls hold their slots. The demo's orders service has 10 slots, so that all orders of the surge could be served.

--- a/internal/load/demonstrator/demonstrator.go
+++ b/internal/load/demonstrator/demonstrator.go
@@ -26,6 +26,8 @@
 	Base float64
 	// Before, Surge and After are the lengths of the phases.
 	Before, Surge, After time.Duration
+	// ControlOnly leaves out the run without control.
+	ControlOnly bool
 	// SlowFactor slows the deepest service during the surge; 0 leaves it.
 	SlowFactor float64
 }
@@ -44,7 +46,7 @@
 
 const (
 	serviceTime = 20 * time.Millisecond
-	orderSlots  = 6
+	orderSlots  = 10
 	stockSlots  = 8
 	timeout     = 800 * time.Millisecond
 	// naiveRetries are the retries of targets and callers that no control bounds.
@@ -56,7 +58,11 @@
 // Run runs the fleet with control and then without.
 func (d Demonstrator) Run(ctx context.Context) ([]reporter.Report, error) {
 	var reports []reporter.Report
-	for _, control := range []bool{true, false} {
+	modes := []bool{true, false}
+	if d.ControlOnly {
+		modes = modes[:1]
+	}
+	for _, control := range modes {
 		r, err := d.RunOne(ctx, control)
 		if err != nil {
 			return nil, err
--- a/internal/load/reporter/reporter.go
+++ b/internal/load/reporter/reporter.go
@@ -35,15 +35,33 @@
 	// Wrongful counts requests refused by rate although they were within their account's rate.
 	Wrongful int `json:"wrongful"`
 	// Within counts requests within their account's rate, GoodWithin the good ones among them.
-	Within     int     `json:"within"`
-	GoodWithin int     `json:"good-within"`
-	Attempts   int     `json:"attempts"`
-	P50MS      float64 `json:"p50-ms"`
-	P99MS      float64 `json:"p99-ms"`
+	Within     int `json:"within"`
+	GoodWithin int `json:"good-within"`
+	Attempts   int `json:"attempts"`
+	// Codes counts the last answers of requests that were not good.
+	Codes []CodeCount `json:"codes"`
+	P50MS float64     `json:"p50-ms"`
+	P99MS float64     `json:"p99-ms"`
 
 	latency *hdrhistogram.Histogram
 }
 
+// CodeCount is how often a request ended with a code.
+type CodeCount struct {
+	Code  string `json:"code"`
+	Count int    `json:"count"`
+}
+
+func (g *Group) count(code string) {
+	for i := range g.Codes {
+		if g.Codes[i].Code == code {
+			g.Codes[i].Count++
+			return
+		}
+	}
+	g.Codes = append(g.Codes, CodeCount{code, 1})
+}
+
 // GoodShare returns the part of the requests that were good.
 func (g Group) GoodShare() float64 { return float64(g.Good) / float64(max(g.Sent, 1)) }
 
@@ -152,6 +170,9 @@
 	if res.Within {
 		g.Within++
 	}
+	if !res.Good {
+		g.count(res.Code)
+	}
 	switch {
 	case res.Good:
 		g.Good++
--- a/internal/node/broker/execute.go
+++ b/internal/node/broker/execute.go
@@ -149,7 +149,7 @@
 	if errors.Is(err, ErrNotSent) {
 		b.Guard.Abandon()
 	} else {
-		b.Guard.Leave(max(took-waited, 0), reply.Code == CodeTargetShed)
+		b.Guard.Leave(took, max(took-waited, 0), reply.Code == CodeTargetShed)
 	}
 	b.note(recorder.Ended, call, string(reply.Code))
 	return reply
--- a/internal/node/guard/guard.go
+++ b/internal/node/guard/guard.go
@@ -117,13 +117,14 @@
 	return ctx.Err()
 }
 
-// Leave ends a call that has reached the target: own is its service time without child calls.
-func (g *Guard) Leave(own time.Duration, shed bool) {
+// Leave ends a call that has reached the target: it held its slot for a span, and own is its service
+// time without child calls.
+func (g *Guard) Leave(held, own time.Duration, shed bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.ended()
 	if g.Control {
-		g.wake(g.adm.Done(g.Clock(), own, shed))
+		g.wake(g.adm.Done(g.Clock(), held, own, shed))
 	}
 }
 
--- a/internal/operator/commander/load.go
+++ b/internal/operator/commander/load.go
@@ -53,6 +53,7 @@
 			&cli.FloatFlag{Name: "factor", Value: def.Factor, Usage: "surge as a multiple of the base rate"},
 			&cli.FloatFlag{Name: "base", Value: def.Base, Usage: "base rate in requests per second"},
 			&cli.FloatFlag{Name: "slow", Usage: "slow the deepest service by this factor during the surge"},
+			&cli.BoolFlag{Name: "control-only", Usage: "leave out the run without control"},
 			&cli.StringFlag{Name: "prefix", Value: def.Prefix, Usage: "first three numbers of the loopback addresses"},
 		),
 		Action: func(ctx context.Context, c *cli.Command) error {
@@ -61,6 +62,7 @@
 			d.Base = c.Float("base")
 			d.SlowFactor = c.Float("slow")
 			d.Prefix = c.String("prefix")
+			d.ControlOnly = c.Bool("control-only")
 			reports, err := d.Run(ctx)
 			if err != nil {
 				return err
--- a/internal/policy/admitter/admitter.go
+++ b/internal/policy/admitter/admitter.go
@@ -103,10 +103,11 @@
 	a.Level.Waited(wait)
 }
 
-// Done notes that a running call has ended: own is its service time without child calls. It returns
-// the calls that start now and those that are refused now.
-func (a *Admitter) Done(now time.Time, own time.Duration, shed bool) (started, refused []*Entry) {
+// Done notes that a running call has ended: it held its slot for a span, and own is its service time
+// without child calls. It returns the calls that start now and those that are refused now.
+func (a *Admitter) Done(now time.Time, held, own time.Duration, shed bool) (started, refused []*Entry) {
 	a.Limit.Observe(now, own, shed, a.inFlight)
+	a.Level.Held(held)
 	a.inFlight--
 	return a.Next(now)
 }
--- a/internal/policy/admitter/level.go
+++ b/internal/policy/admitter/level.go
@@ -15,11 +15,11 @@
 
 const (
 	levelWindow = 100 * time.Millisecond
-	// queueTarget is the mean queueing time above which a window counts as overloaded.
+	// queueTarget is the least mean queueing time that counts as overload. Where calls hold their slots
+	// for longer, that time takes its place.
 	queueTarget = 20 * time.Millisecond
 	shrinkShare = 0.05
-	growShare   = 0.02
-	// minGrow is the least growth per window, in priorities.
+	// minGrow is the first growth after a shrink, in priorities. It doubles with each window.
 	minGrow = 4
 )
 
@@ -40,6 +40,20 @@
 	waited   time.Duration
 	starts   int
 	refused  int
+	grow     int
+	// held is a smoothed time for which calls hold their slots.
+	held time.Duration
+}
+
+// heldWeight is the share of a new sample in held.
+const heldWeight = 0.05
+
+// Held notes for how long a call has held its slot.
+func (l *Level) Held(span time.Duration) {
+	if l.held == 0 {
+		l.held = span
+	}
+	l.held += time.Duration(heldWeight * float64(span-l.held))
 }
 
 // Current returns the level: priorities below it are admitted.
@@ -86,7 +100,7 @@
 		l.shrink()
 		windows--
 	}
-	l.grow(min(windows, MaxLevel))
+	l.raise(min(windows, MaxLevel))
 	l.window = now
 	l.offered = [MaxLevel]int{}
 	l.admitted, l.waited, l.starts, l.refused = 0, 0, 0, 0
@@ -96,11 +110,12 @@
 	if l.refused > 0 && l.refused*20 > l.admitted {
 		return true
 	}
-	return l.starts > 0 && l.waited/time.Duration(l.starts) > queueTarget
+	return l.starts > 0 && l.waited/time.Duration(l.starts) > max(queueTarget, l.held)
 }
 
 // shrink lowers the level until the window's admitted calls would have been fewer.
 func (l *Level) shrink() {
+	l.grow = minGrow
 	served := l.admitted - l.refused
 	goal := min(int(float64(l.admitted)*(1-shrinkShare)), served)
 	sum := 0
@@ -114,24 +129,14 @@
 	l.level = max(l.level-minGrow, 1)
 }
 
-func (l *Level) grow(windows int) {
+// raise lets the level grow. Entry nodes refuse what the level does not admit, so that nothing is known
+// of the demand above it; hence growth starts small and doubles.
+func (l *Level) raise(windows int) {
 	for range windows {
 		if l.level >= MaxLevel {
 			return
 		}
-		l.level = min(MaxLevel, l.nextLevel())
-	}
-}
-
-// nextLevel raises the level until the window's admitted calls would have been more.
-func (l *Level) nextLevel() int {
-	goal := int(float64(l.admitted) * growShare)
-	sum := 0
-	for p := l.level; p < MaxLevel; p++ {
-		sum += l.offered[p]
-		if sum > goal && p-l.level >= minGrow {
-			return p
-		}
+		l.level = min(MaxLevel, l.level+l.grow)
+		l.grow = min(2*l.grow, MaxLevel)
 	}
-	return MaxLevel
 }
