Do not cut the concurrency of a service that is slow for a reason of its own

Cause: with the deep service slowed tenfold and 3x load, goodput fell to 78/s of the 160/s that its slots allow and 31% of the important calls failed: the adaptive limit took the longer service time for overload and went down to its floor, which only left slots idle. Ruled out: the level (important calls were refused by full queues behind one slot). Change: after three decreases their effect is judged; without a shorter service time the limit returns to the declared slots and the service time becomes the new normal.

--- a/internal/policy/admitter/limit.go
+++ b/internal/policy/admitter/limit.go
@@ -10,6 +10,10 @@
 	decreaseFactor   = 0.9
 	shedFactor       = 0.8
 	increaseFactor   = 0.05
+	// trialWindows is the number of decreases after which their effect is judged.
+	trialWindows = 3
+	// helped is the most that the service time may be of what it was, for the decreases to go on.
+	helped = 0.87
 	// floorShare is the least share of the declared slots.
 	floorShare = 0.1
 	// coldShare is the share of the limit that a cold target starts with.
@@ -34,6 +38,13 @@
 	baseline [2]time.Duration
 	rotated  time.Time
 	recent   time.Duration
+	trial    trial
+}
+
+// trial is a run of decreases whose effect is not known yet.
+type trial struct {
+	windows int
+	before  time.Duration
 }
 
 // Current returns the number of calls that may run now.
@@ -86,14 +97,37 @@
 	case l.sheds > 0:
 		limit *= shedFactor
 	case l.n > 0 && l.slow(now) && float64(l.peak) >= limit/2:
-		limit *= decreaseFactor
+		limit = l.decrease(limit)
+	case l.n == 0 && l.peak > 0:
+		// Calls run and none has ended: nothing is known.
 	default:
+		l.trial = trial{}
 		limit += max(1, limit*increaseFactor)
 	}
 	floor := max(1, floorShare*float64(l.Slots))
 	l.limit = min(max(limit, floor), float64(l.Slots))
 }
 
+// decrease lowers the limit as long as that shortens the service time. Where it does not, the target is
+// slow for a reason of its own: the limit returns to the slots and the service time becomes the new
+// normal.
+func (l *Limit) decrease(limit float64) float64 {
+	if l.trial.windows == 0 {
+		l.trial.before = l.recent
+	}
+	l.trial.windows++
+	if l.trial.windows <= trialWindows {
+		return limit * decreaseFactor
+	}
+	before := l.trial.before
+	l.trial = trial{}
+	if float64(l.recent) < helped*float64(before) {
+		return limit * decreaseFactor
+	}
+	l.baseline = [2]time.Duration{l.recent, l.recent}
+	return float64(l.Slots)
+}
+
 // slow compares the window's mean with the least mean of the last baseline windows.
 func (l *Limit) slow(now time.Time) bool {
 	mean := l.sum / time.Duration(l.n)
