--- /dev/null
+++ b/internal/event/merger/merger_test.go
@@ -0,0 +1,54 @@
+package merger_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/plantainwheel/plantainwheel/internal/event/merger"
+	"github.com/plantainwheel/plantainwheel/internal/event/recorder"
+	"gotest.tools/v3/assert"
+)
+
+// ringAt makes a ring whose wall clock stands still at a number of milliseconds.
+func ringAt(node string, ms int64) *recorder.Ring {
+	return &recorder.Ring{Node: node, Capacity: 3, Clock: func() time.Time { return time.UnixMilli(ms) }}
+}
+
+// TestCausalOrder passes a message from a node whose clock is ahead to one that is behind: the effect
+// still comes after its cause.
+func TestCausalOrder(t *testing.T) {
+	a, b := ringAt("a", 5000), ringAt("b", 4000)
+	a.Add(recorder.Event{Kind: recorder.Retried, Request: "r"})
+	b.Witness(a.Now())
+	b.Add(recorder.Event{Kind: recorder.Started, Request: "r"})
+	b.Add(recorder.Event{Kind: recorder.Folded, Change: "c"})
+	b.Witness(recorder.Stamp{Wall: 4000 + 61_000})
+	b.Add(recorder.Event{Kind: recorder.Ended, Request: "r"})
+	lists := [][]recorder.Event{b.After(recorder.Stamp{}), a.After(recorder.Stamp{})}
+	got := merger.Merge(lists, merger.Filter{Request: "r"})
+	var kinds []string
+	for _, e := range got {
+		kinds = append(kinds, string(e.Kind))
+	}
+	assert.Equal(t, strings.Join(kinds, " "), "retried run-started run-ended")
+	var text strings.Builder
+	assert.NilError(t, merger.WriteText(&text, got))
+	assert.Assert(t, strings.Contains(text.String(), `request="r"`))
+	assert.NilError(t, merger.WriteHTML(&text, got))
+	assert.NilError(t, merger.WriteJSON(&text, got))
+}
+
+// TestRingIsBounded checks that the oldest events give way.
+func TestRingIsBounded(t *testing.T) {
+	r := ringAt("a", 1)
+	for _, id := range []string{"1", "2", "3", "4", "5"} {
+		r.Add(recorder.Event{Request: id})
+	}
+	got := r.After(recorder.Stamp{})
+	assert.Equal(t, len(got), 3)
+	assert.Equal(t, got[0].Request+got[2].Request, "35")
+	assert.Equal(t, len(r.After(got[1].Time)), 1)
+	assert.Equal(t, recorder.ParseStamp(got[0].Time.String()), got[0].Time)
+	assert.Equal(t, recorder.ParseStamp("junk"), recorder.Stamp{})
+}
--- a/internal/operator/commander/commander.go
+++ b/internal/operator/commander/commander.go
@@ -33,7 +33,7 @@
 		Commands: []*cli.Command{
 			nodeCommand(stderr), checkCommand(stdout),
 			getCommand(stdout), applyCommand(stdout), deleteCommand(stdout), watchCommand(stdout), fenceCommand(stdout),
-			demoCommand(stdout), loadCommand(stdout),
+			demoCommand(stdout), loadCommand(stdout), timelineCommand(stdout, stderr),
 		},
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 	}
