Keep the cost of a choice and of an exchange apart from the fleet's size

Reading the code for 17,000 members showed worse: silence was judged for every member, though samples of eight reach each one only every few minutes there, so the first node would have fenced the fleet, and every node would have taken itself for the leader. Change: a choice looks at 8 targets of the own data centre and 4 of others; exchanges sample in constant time; the index of declarations is renewed by kind; a node watches its two ring neighbours only, and the first live witness leads; silence takes targets out of routing only in fleets of up to 64 nodes.

--- /dev/null
+++ b/internal/node/broker/broker_test.go
@@ -0,0 +1,121 @@
+package broker_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/plantainwheel/plantainwheel/internal/event/recorder"
+	"github.com/plantainwheel/plantainwheel/internal/node/broker"
+	"github.com/plantainwheel/plantainwheel/internal/node/guard"
+	"github.com/plantainwheel/plantainwheel/internal/node/roster"
+	"github.com/plantainwheel/plantainwheel/internal/policy/admitter"
+	"github.com/plantainwheel/plantainwheel/internal/policy/granter"
+	"github.com/plantainwheel/plantainwheel/internal/policy/lender"
+	"github.com/plantainwheel/plantainwheel/internal/policy/reducer"
+	"github.com/plantainwheel/plantainwheel/internal/policy/retrier"
+	"gotest.tools/v3/assert"
+)
+
+// fakes answer at once.
+type fakes struct {
+	state *reducer.State
+	do    func(call broker.Call, token string) (granter.Answer, error)
+}
+
+func (f *fakes) State() *reducer.State { return f.state }
+func (f *fakes) Confirmed() bool       { return true }
+
+func (f *fakes) Take(context.Context, reducer.Account) (lender.Token, time.Duration, error) {
+	return lender.Token{}, 0, nil
+}
+func (f *fakes) GiveBack(reducer.Account, lender.Token) {}
+
+func (f *fakes) Acquire(context.Context, string, string) (granter.Answer, bool, error) {
+	return granter.Answer{}, false, nil
+}
+func (f *fakes) Release(string, string)                  {}
+func (f *fakes) Complete(string, string, granter.Answer) {}
+
+func (f *fakes) Forward(context.Context, broker.Call) (broker.Reply, error) {
+	return broker.Reply{Answer: granter.Answer{Status: 200}, PathLevel: admitter.MaxLevel, Load: roster.Entry{Level: admitter.MaxLevel}}, nil
+}
+
+func (f *fakes) Do(_ context.Context, call broker.Call, token string) (granter.Answer, error) {
+	if f.do == nil {
+		return granter.Answer{Status: 200}, nil
+	}
+	return f.do(call, token)
+}
+
+// newBroker makes a node beside one of n targets of the service s.
+func newBroker(n int) (*broker.Broker, *fakes) {
+	f := &fakes{state: reducer.New()}
+	put := func(kind reducer.Kind, name, spec string) {
+		change := &reducer.Change{Kind: kind, Name: name, Spec: json.RawMessage(spec)}
+		data, _ := reducer.Encode(reducer.Record{ID: name, Change: change})
+		f.state, _ = reducer.Fold(f.state, f.state.Offset+1, data)
+	}
+	put(reducer.KindRoute, "r", `{"service":"s","method":"GET","path":"/a","open":true,"idempotent":true,"importance":"low","timeout-ms":1000}`)
+	g := &guard.Guard{Clock: time.Now, Control: true}
+	g.Open(100, 0)
+	r := &roster.Roster{Self: "vm-0", DataCentre: "dc", Clock: time.Now}
+	entry := func(i int) roster.Entry {
+		return roster.Entry{
+			VM: fmt.Sprintf("vm-%d", i), Incarnation: 1, Beat: 1, DataCentre: "dc", Service: "s",
+			Limit: 100, Level: admitter.MaxLevel,
+		}
+	}
+	for i := range n {
+		r.Merge([]roster.Entry{entry(i)})
+	}
+	b := &broker.Broker{
+		Fold: f, Roster: r, Guard: g, Rates: f, Claims: f, Peers: f, Target: f,
+		Events:  &recorder.Ring{Node: "vm-0", Capacity: 1000, Clock: time.Now},
+		Metrics: broker.NewMetrics(metrics.NewSet()),
+		Clock:   time.Now,
+		Random:  func() uint64 { return 7 },
+		Self:    func() string { return "vm-0/1" },
+		Entry:   func() roster.Entry { return entry(0) },
+		Control: true,
+		Retries: 3,
+	}
+	return b, f
+}
+
+var inbound = broker.Inbound{Method: "GET", Path: "/a", URI: "/a"}
+
+// TestChildCalls checks that a child call runs in its parent's name and only while that runs.
+func TestChildCalls(t *testing.T) {
+	b, f := newBroker(1)
+	late := ""
+	f.do = func(call broker.Call, token string) (granter.Answer, error) {
+		if call.Depth < 20 {
+			late = token
+			r := b.Child(context.Background(), token, inbound)
+			return granter.Answer{Status: max(r.Status, 200)}, nil
+		}
+		return granter.Answer{Status: 200}, nil
+	}
+	r := b.Serve(context.Background(), inbound)
+	assert.Equal(t, r.Status, 508, "a chain without end is broken off")
+	f.do = nil
+	r = b.Child(context.Background(), late, inbound)
+	assert.Equal(t, r.Outcome, retrier.Ran, "an open route needs no context")
+}
+
+// BenchmarkServe measures all decisions of one request, without any I/O.
+func BenchmarkServe(b *testing.B) {
+	for _, n := range []int{1, 4, 64, 512} {
+		br, _ := newBroker(n)
+		b.Run(fmt.Sprintf("targets=%d", n), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				br.Serve(context.Background(), inbound)
+			}
+		})
+	}
+}
--- a/internal/node/broker/dispatch.go
+++ b/internal/node/broker/dispatch.go
@@ -39,7 +39,7 @@
 
 // attempt picks a target and sends the call once. It says which member was tried, if any.
 func (b *Broker) attempt(ctx context.Context, route reducer.Route, call Call, escrow *retrier.Escrow, tried []string) (Reply, string, bool) {
-	candidates := b.Roster.Candidates(route.Service)
+	candidates := b.Roster.Candidates(route.Service, b.Random())
 	chosen, refusal := router.Choose(candidates, router.Request{
 		Priority: admitter.Priority(call.Importance, call.RootID),
 		Later:    call.Depth > 0 || !b.Control,
@@ -156,7 +156,7 @@
 	reply, err := b.forward(ctx, call)
 	took := b.Clock().Sub(began)
 	healthy := err == nil && reply.Code != CodeTargetDown && reply.Code != CodeTargetBroken
-	if b.Roster.End(vm, healthy || ctx.Err() != nil, took-reply.Load.ServiceTime) {
+	if b.Roster.End(vm, healthy || errors.Is(ctx.Err(), context.Canceled), took-reply.Load.ServiceTime) {
 		b.Events.Add(recorder.Event{Kind: recorder.Ejected, Detail: call.To})
 	}
 	if err != nil {
--- a/internal/node/broker/entry.go
+++ b/internal/node/broker/entry.go
@@ -154,7 +154,7 @@
 
 // final counts a reply and notes a refusal.
 func (b *Broker) final(started time.Time, call Call, reply Reply) Reply {
-	b.Metrics.request(call, reply, b.Clock().Sub(started))
+	b.Metrics.request(&call, &reply, b.Clock().Sub(started))
 	kind := recorder.Served
 	if reply.Code != CodeNone {
 		kind = recorder.Refused
--- a/internal/node/broker/metrics.go
+++ b/internal/node/broker/metrics.go
@@ -2,9 +2,11 @@
 
 import (
 	"fmt"
+	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/plantainwheel/plantainwheel/internal/policy/reducer"
 	"github.com/plantainwheel/plantainwheel/internal/policy/retrier"
 )
 
@@ -14,18 +16,40 @@
 	Set *metrics.Set
 	// Retries counts calls that were sent again.
 	Retries *metrics.Counter
+
+	seconds  *metrics.Histogram
+	requests sync.Map
+}
+
+// requestKey labels a counter of requests.
+type requestKey struct {
+	outcome    retrier.Outcome
+	code       Code
+	importance reducer.Importance
 }
 
 // NewMetrics registers the metrics of a node.
 func NewMetrics(set *metrics.Set) *Metrics {
-	return &Metrics{Set: set, Retries: set.NewCounter("plantainwheel_retries_total")}
+	return &Metrics{
+		Set:     set,
+		Retries: set.NewCounter("plantainwheel_retries_total"),
+		seconds: set.NewHistogram("plantainwheel_request_seconds"),
+	}
 }
 
-func (m *Metrics) request(call Call, reply Reply, took time.Duration) {
-	outcome := reply.Outcome.String()
-	name := fmt.Sprintf(`plantainwheel_requests_total{outcome=%q,code=%q,importance=%q}`, outcome, reply.Code, call.Importance)
-	m.Set.GetOrCreateCounter(name).Inc()
+func (m *Metrics) request(call *Call, reply *Reply, took time.Duration) {
+	m.counter(requestKey{reply.Outcome, reply.Code, call.Importance}).Inc()
 	if reply.Outcome == retrier.Ran {
-		m.Set.GetOrCreateHistogram(`plantainwheel_request_seconds`).Update(took.Seconds())
+		m.seconds.Update(took.Seconds())
+	}
+}
+
+func (m *Metrics) counter(k requestKey) *metrics.Counter {
+	if c, ok := m.requests.Load(k); ok {
+		return c.(*metrics.Counter)
 	}
+	name := fmt.Sprintf(`plantainwheel_requests_total{outcome=%q,code=%q,importance=%q}`, k.outcome, k.code, k.importance)
+	c := m.Set.GetOrCreateCounter(name)
+	m.requests.Store(k, c)
+	return c
 }
--- a/internal/node/roster/roster.go
+++ b/internal/node/roster/roster.go
@@ -3,7 +3,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -34,8 +33,22 @@
 // Member returns the member ID.
 func (e Entry) Member() string { return reducer.MemberID(e.VM, e.Incarnation) }
 
+// group lists the VMs with targets of one service.
+type group struct {
+	// near are those in the own data centre, far the others.
+	near []string
+	far  []string
+}
+
+const (
+	// sampleNear and sampleFar bound the targets that one choice looks at.
+	sampleNear = 8
+	sampleFar  = 4
+)
+
 type record struct {
 	Entry
+	member  string
 	heard   time.Time
 	sent    int
 	outlier router.Outlier
@@ -51,9 +64,11 @@
 	// Clock returns the time.
 	Clock func() time.Time
 
-	mu        sync.Mutex
-	records   map[string]*record
-	byService map[string][]string
+	mu      sync.Mutex
+	records map[string]*record
+	// names lists the VMs in order.
+	names     []string
+	byService map[string]*group
 }
 
 // Merge takes in entries that a peer has passed on.
@@ -69,35 +84,62 @@
 func (r *Roster) merge(now time.Time, e Entry) {
 	if r.records == nil {
 		r.records = map[string]*record{}
-		r.byService = map[string][]string{}
+		r.byService = map[string]*group{}
 	}
 	old, ok := r.records[e.VM]
 	if !ok {
-		r.records[e.VM] = &record{Entry: e, heard: now}
-		r.list(e.VM, "", e.Service)
+		v := &record{Entry: e, member: e.Member(), heard: now}
+		r.records[e.VM] = v
+		r.list(v, "", e.Service)
+		at, _ := slices.BinarySearch(r.names, e.VM)
+		r.names = slices.Insert(r.names, at, e.VM)
 		return
 	}
 	newer := cmp.Or(cmp.Compare(e.Incarnation, old.Incarnation), cmp.Compare(e.Beat, old.Beat))
 	if newer <= 0 {
 		return
 	}
+	if e.Incarnation == old.Incarnation && e.Service == old.Service && e.DataCentre == old.DataCentre {
+		old.Entry = e
+		old.heard = now
+		return
+	}
 	if e.Incarnation > old.Incarnation {
 		old.outlier = router.Outlier{}
 	}
-	r.list(e.VM, old.Service, e.Service)
+	r.list(old, old.Service, "")
 	old.Entry = e
+	old.member = e.Member()
 	old.heard = now
+	r.list(old, "", e.Service)
 }
 
-func (r *Roster) list(vm, before, after string) {
+// list moves a VM from the targets of one service to those of another. Either may be empty.
+func (r *Roster) list(v *record, before, after string) {
 	if before == after {
 		return
 	}
-	r.byService[before] = slices.DeleteFunc(r.byService[before], func(v string) bool { return v == vm })
+	if before != "" {
+		list := r.side(before, v.DataCentre)
+		*list = slices.DeleteFunc(*list, func(vm string) bool { return vm == v.VM })
+	}
 	if after != "" {
-		r.byService[after] = append(r.byService[after], vm)
-		slices.Sort(r.byService[after])
+		list := r.side(after, v.DataCentre)
+		*list = append(*list, v.VM)
+		slices.Sort(*list)
+	}
+}
+
+func (r *Roster) side(service, dataCentre string) *[]string {
+	g, ok := r.byService[service]
+	if !ok {
+		g = &group{}
+		r.byService[service] = g
+	}
+	if dataCentre == r.DataCentre {
+		return &g.near
 	}
+	return &g.far
 }
 
 // Add notes the members of the fold that have not been heard of yet.
@@ -120,8 +162,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if old, ok := r.records[vm]; ok {
-		r.list(vm, old.Service, "")
+		r.list(old, old.Service, "")
 		delete(r.records, vm)
+		r.names = slices.DeleteFunc(r.names, func(v string) bool { return v == vm })
 	}
 }
 
@@ -129,38 +172,52 @@
 func (r *Roster) Entries() []Entry {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	list := make([]Entry, 0, len(r.records))
-	for _, v := range r.records {
-		list = append(list, v.Entry)
+	list := make([]Entry, len(r.names))
+	for i, vm := range r.names {
+		list[i] = r.records[vm].Entry
 	}
-	slices.SortFunc(list, func(a, b Entry) int { return cmp.Compare(a.VM, b.VM) })
 	return list
 }
 
-// Sample returns up to n entries to pass on, the own one first, then those that leave, then others
-// from a random start.
+// Sample returns up to n entries to pass on: the own one, then others from a random start on. Its cost
+// does not depend on the size of the fleet.
 func (r *Roster) Sample(n int, random uint64) []Entry {
-	all := r.Entries()
-	if len(all) == 0 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.names) == 0 {
 		return nil
 	}
-	start := int(random % uint64(len(all)))
-	rotated := append(slices.Clone(all[start:]), all[:start]...)
-	slices.SortStableFunc(rotated, func(a, b Entry) int { return cmp.Compare(r.order(a), r.order(b)) })
-	return rotated[:min(n, len(rotated))]
+	list := make([]Entry, 0, n)
+	if self, ok := r.records[r.Self]; ok {
+		list = append(list, self.Entry)
+	}
+	start := int(random % uint64(len(r.names)))
+	for i := range min(n, len(r.names)) {
+		vm := r.names[(start+i)%len(r.names)]
+		if vm != r.Self && len(list) < n {
+			list = append(list, r.records[vm].Entry)
+		}
+	}
+	return list
 }
 
-func (r *Roster) order(e Entry) int {
-	switch {
-	case e.VM == r.Self:
-		return 0
-	case e.Draining || e.Left:
-		return 1
-	default:
-		return 2
+// Random returns the peer address of a random other node that has not left.
+func (r *Roster) Random(random uint64) (string, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := uint64(len(r.names))
+	for i := range min(n, maxTries) {
+		v := r.records[r.names[(random+i)%n]]
+		if v.VM != r.Self && !v.Left {
+			return v.PeerAddress, true
+		}
 	}
+	return "", false
 }
 
+// maxTries bounds the search for a node that has not left.
+const maxTries = 16
+
 // Silent returns the VMs that have not been heard of for a time.
 func (r *Roster) Silent(span time.Duration) []string {
 	now := r.Clock()
@@ -187,36 +244,34 @@
 	return v.PeerAddress, true
 }
 
-// Peers returns the addresses of all other nodes that have not left.
-func (r *Roster) Peers() []string {
+// Candidates returns targets of a service: all of them where there are few, else a random part of those
+// in the own data centre and of the others, so that the cost of a choice does not grow with the service.
+func (r *Roster) Candidates(service string, random uint64) []router.Candidate {
+	now := r.Clock()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var list []string
-	for vm, v := range r.records {
-		if vm != r.Self && !v.Left {
-			list = append(list, v.PeerAddress)
-		}
+	g, ok := r.byService[service]
+	if !ok {
+		return nil
 	}
-	slices.Sort(list)
-	return list
-}
-
-// Services lists the services that have at least one target.
-func (r *Roster) Services() []string {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return slices.Sorted(maps.Keys(r.byService))
+	list := make([]router.Candidate, 0, sampleNear+sampleFar)
+	list = r.sample(list, now, g.near, sampleNear, random)
+	return r.sample(list, now, g.far, sampleFar, random>>32)
 }
 
-// Candidates returns the targets of a service.
-func (r *Roster) Candidates(service string) []router.Candidate {
-	now := r.Clock()
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	vms := r.byService[service]
-	list := make([]router.Candidate, 0, len(vms))
-	for _, vm := range vms {
-		list = append(list, r.candidate(now, r.records[vm]))
+// sample appends up to n of the VMs, from a random start with a random step.
+func (r *Roster) sample(list []router.Candidate, now time.Time, vms []string, n int, random uint64) []router.Candidate {
+	count := uint64(len(vms))
+	if len(vms) <= n {
+		for _, vm := range vms {
+			list = append(list, r.candidate(now, r.records[vm]))
+		}
+		return list
+	}
+	at, step := random%count, 1+(random>>16)%(count/uint64(n))
+	for range n {
+		list = append(list, r.candidate(now, r.records[vms[at%count]]))
+		at += step
 	}
 	return list
 }
@@ -227,7 +282,7 @@
 		level = maxLevel
 	}
 	return router.Candidate{
-		Member:      v.Member(),
+		Member:      v.member,
 		Local:       v.DataCentre == r.DataCentre,
 		InFlight:    v.InFlight + v.Queued + v.sent,
 		Limit:       v.Limit,
@@ -235,12 +290,15 @@
 		ServiceTime: v.ServiceTime,
 		RoundTrip:   v.trip,
 		Draining:    v.Draining || v.Left,
-		Suspect:     router.Suspect(now, v.heard),
+		Suspect:     len(r.names) <= heardFleet && router.Suspect(now, v.heard),
 		Ejected:     v.outlier.Ejected(now),
 	}
 }
 
 const (
+	// heardFleet is the largest fleet in which each node hears of each other one often enough for its
+	// silence to mean something. In larger ones only failed calls and fences take targets out.
+	heardFleet = 64
 	// levelLasts is how long a published level is believed.
 	levelLasts = time.Second
 	maxLevel   = int(^uint(0) >> 1)
--- /dev/null
+++ b/internal/node/roster/roster_test.go
@@ -0,0 +1,79 @@
+package roster_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/plantainwheel/plantainwheel/internal/node/roster"
+	"gotest.tools/v3/assert"
+)
+
+func newRoster(n int) *roster.Roster {
+	r := &roster.Roster{Self: "vm-0", DataCentre: "dc-0", Clock: time.Now}
+	for i := range n {
+		r.Merge([]roster.Entry{{
+			VM: fmt.Sprintf("vm-%d", i), Incarnation: 1, Beat: 1, DataCentre: fmt.Sprintf("dc-%d", i%3),
+			Service: "s", PeerAddress: fmt.Sprint(i),
+		}})
+	}
+	return r
+}
+
+// TestMerge checks that newer statements win, whatever the order in which they come.
+func TestMerge(t *testing.T) {
+	r := newRoster(2)
+	say := func(incarnation, beat int64, service string) {
+		r.Merge([]roster.Entry{{VM: "vm-1", Incarnation: incarnation, Beat: beat, Service: service, DataCentre: "dc-1"}})
+	}
+	say(2, 1, "t")
+	say(1, 9, "s")
+	say(2, 0, "u")
+	assert.Equal(t, r.Entries()[1].Service, "t")
+	assert.Equal(t, len(r.Candidates("s", 1)), 1)
+	assert.Equal(t, len(r.Candidates("t", 1)), 1)
+	r.Forget("vm-1")
+	assert.Equal(t, len(r.Candidates("t", 1)), 0)
+	assert.Equal(t, len(r.Entries()), 1)
+}
+
+// TestSampleCoversAll checks that random choices and samples reach every VM in the end.
+func TestSampleCoversAll(t *testing.T) {
+	r := newRoster(100)
+	chosen, passed := map[string]bool{}, map[string]bool{}
+	for i := range uint64(5000) {
+		for _, c := range r.Candidates("s", i*0x9e3779b97f4a7c15) {
+			chosen[c.Member] = true
+		}
+		for _, e := range r.Sample(8, i) {
+			passed[e.VM] = true
+		}
+	}
+	assert.Equal(t, len(chosen), 100)
+	assert.Equal(t, len(passed), 100)
+	assert.Equal(t, len(r.Candidates("s", 5)), 12)
+}
+
+func BenchmarkSample(b *testing.B) {
+	for _, n := range []int{16, 1000, 17000} {
+		r := newRoster(n)
+		b.Run(fmt.Sprintf("members=%d", n), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				r.Sample(8, 12345)
+			}
+		})
+	}
+}
+
+func BenchmarkCandidates(b *testing.B) {
+	for _, n := range []int{4, 64, 17000} {
+		r := newRoster(n)
+		b.Run(fmt.Sprintf("targets=%d", n), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				r.Candidates("s", 12345)
+			}
+		})
+	}
+}
--- a/internal/node/runner/app.go
+++ b/internal/node/runner/app.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/gin-gonic/gin"
+	"github.com/google/uuid"
 	"github.com/phuslu/log"
 	callerserver "github.com/plantainwheel/plantainwheel/internal/caller/server"
 	"github.com/plantainwheel/plantainwheel/internal/node/follower"
@@ -48,6 +49,7 @@
 // App returns the application that runs a node with these settings.
 func App(cfg loader.Settings, logger *log.Logger) *fx.App {
 	gin.SetMode(gin.ReleaseMode)
+	uuid.EnableRandPool()
 	return fx.New(
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 		fx.StartTimeout(startTimeout),
--- a/internal/node/steward/steward.go
+++ b/internal/node/steward/steward.go
@@ -25,8 +25,6 @@
 	exchangeTimeout = time.Second
 	// sampleSize bounds the roster entries of one exchange.
 	sampleSize = 8
-	// ringPeers is how many neighbours a node exchanges with besides a random one.
-	ringPeers = 2
 	// forgetAfter is how many suspect times a silent VM without membership is remembered.
 	forgetAfter = 4
 )
@@ -85,6 +83,7 @@
 	incarnation atomic.Int64
 	beat        atomic.Int64
 	left        atomic.Bool
+	enrolled    atomic.Int64
 	mu          sync.Mutex
 	joined      bool
 	fenced      bool
@@ -162,24 +161,26 @@
 // ExchangeAll exchanges with the witnesses, the ring neighbours and one random peer.
 func (s *Steward) ExchangeAll(ctx context.Context) {
 	s.Entry()
-	s.Roster.Add(s.Follower.State().MemberList())
+	s.enroll()
 	s.exchangeWith(ctx, s.partners())
 }
 
+// enroll notes the members of the fold in the roster whenever the fold has moved.
+func (s *Steward) enroll() {
+	state := s.Follower.State()
+	if s.enrolled.Swap(state.Offset) != state.Offset {
+		s.Roster.Add(state.MemberList())
+	}
+}
+
 func (s *Steward) partners() []string {
 	list := s.witnessAddresses()
-	peers := s.Roster.Peers()
-	if len(peers) == 0 {
-		peers = s.Seeds
-	}
-	if len(peers) == 0 {
-		return list
+	for _, m := range s.Follower.State().Neighbours(s.Self(), planner.RingNeighbours) {
+		list = append(list, m.PeerAddress)
 	}
-	i, _ := slices.BinarySearch(peers, s.PeerAddress)
-	for n := range ringPeers {
-		list = append(list, peers[(i+n)%len(peers)])
+	if address, ok := s.Roster.Random(rand.Uint64()); ok {
+		list = append(list, address)
 	}
-	list = append(list, peers[rand.IntN(len(peers))])
 	if len(s.Seeds) > 0 && !s.Follower.Confirmed() {
 		list = append(list, s.Seeds[rand.IntN(len(s.Seeds))])
 	}
--- a/internal/policy/planner/planner.go
+++ b/internal/policy/planner/planner.go
@@ -12,7 +12,8 @@
 type View struct {
 	// Self is this incarnation of the node.
 	Self reducer.Member
-	// Silent lists the VMs that nobody has been heard to hear of for the suspect time.
+	// Silent lists the VMs that have not been heard of for the suspect time. It counts only for members
+	// that this node exchanges with: its ring neighbours and, for a witness, the witnesses.
 	Silent []string
 	// Fenced says that an earlier incarnation of this node was removed.
 	Fenced bool
@@ -28,6 +29,9 @@
 	SnapshotEvery time.Duration
 }
 
+// RingNeighbours is the number of members that each node watches.
+const RingNeighbours = 2
+
 // slotSlack is the share by which a holder may exceed its fair number of slots. Each move of a slot
 // stops its lending for the length of a loan, so small differences are left.
 const slotSlack = 0.5
@@ -69,23 +73,33 @@
 // planFence removes a silent member. Only a node that reaches a majority of the witnesses may, so a
 // node that is cut off from the others cannot fence them.
 func planFence(s *reducer.State, v View) (reducer.Record, bool) {
-	if !v.Quorum || !leads(s, v) {
+	if !v.Quorum {
 		return reducer.Record{}, false
 	}
-	for _, m := range s.MemberList() {
-		if m.ID() != v.Self.ID() && slices.Contains(v.Silent, m.VM) {
+	for _, m := range s.Neighbours(v.Self.ID(), RingNeighbours) {
+		if slices.Contains(v.Silent, m.VM) {
 			return reducer.Record{ID: "fence-" + m.ID(), Fence: &reducer.Fence{Member: m.ID()}}, true
 		}
 	}
 	return reducer.Record{}, false
 }
 
-// leads says whether this node is the first member that is not silent, which spares the platform
-// the same record from every node.
+// leads says whether this node is the first witness that is not silent, which spares the platform the
+// same record from every node. Before there are witnesses, or after all have gone, the first members
+// take their place.
 func leads(s *reducer.State, v View) bool {
-	for _, m := range s.MemberList() {
-		if !slices.Contains(v.Silent, m.VM) {
-			return m.ID() == v.Self.ID()
+	leaders := slices.DeleteFunc(slices.Clone(s.Witness.Members), func(id string) bool {
+		_, ok := s.Members[id]
+		return !ok
+	})
+	if len(leaders) == 0 {
+		for _, m := range s.MemberList()[:min(v.WitnessCount, len(s.Members))] {
+			leaders = append(leaders, m.ID())
+		}
+	}
+	for _, id := range leaders {
+		if !slices.Contains(v.Silent, s.Members[id].VM) {
+			return id == v.Self.ID()
 		}
 	}
 	return false
--- a/internal/policy/reducer/index.go
+++ b/internal/policy/reducer/index.go
@@ -36,17 +36,45 @@
 		events:   map[string][]Event{},
 	}
 	for _, r := range resources {
-		x.add(r)
-	}
-	for _, list := range x.routes {
-		slices.SortFunc(list, func(a, b Route) int {
-			return cmp.Or(cmp.Compare(len(b.Path), len(a.Path)), cmp.Compare(a.Name, b.Name))
-		})
+		x.put(r)
 	}
 	return x
 }
 
-func (x *index) add(r Resource) {
+// with returns an index that also holds a resource; the old one stays as it is.
+func (x *index) with(r Resource) *index {
+	next := x.cloneFor(r.Kind)
+	next.put(r)
+	return next
+}
+
+// without returns an index that no longer holds a resource.
+func (x *index) without(r Resource) *index {
+	next := x.cloneFor(r.Kind)
+	next.drop(r)
+	return next
+}
+
+// cloneFor copies the maps that resources of a kind stand in.
+func (x *index) cloneFor(kind Kind) *index {
+	next := *x
+	switch kind {
+	case KindAccount:
+		next.accounts = maps.Clone(x.accounts)
+	case KindService:
+		next.services = maps.Clone(x.services)
+	case KindKey:
+		next.keys = maps.Clone(x.keys)
+	case KindRoute:
+		next.routes = maps.Clone(x.routes)
+		next.byName = maps.Clone(x.byName)
+	case KindEvent:
+		next.events = maps.Clone(x.events)
+	}
+	return &next
+}
+
+func (x *index) put(r Resource) {
 	v, err := parse(r.Kind, r.Name, r.Spec)
 	if err != nil {
 		return
@@ -58,17 +86,56 @@
 		x.services[v.Name] = *v
 	case *Key:
 		x.keys[v.Hash] = *v
+	case *Route:
+		x.putRoute(*v)
+	case *Event:
+		for _, route := range v.Routes {
+			x.events[route] = append(slices.Clone(x.events[route]), *v)
+		}
+	}
+}
+
+// putRoute keeps the routes of one segment ordered, the longest path first.
+func (x *index) putRoute(r Route) {
+	k := routeKey{r.Method, firstSegment(r.Path)}
+	list := append(slices.Clone(x.routes[k]), r)
+	slices.SortFunc(list, func(a, b Route) int {
+		return cmp.Or(cmp.Compare(len(b.Path), len(a.Path)), cmp.Compare(a.Name, b.Name))
+	})
+	x.routes[k] = list
+	x.byName[r.Name] = r
+}
+
+func (x *index) drop(r Resource) {
+	v, err := parse(r.Kind, r.Name, r.Spec)
+	if err != nil {
+		return
+	}
+	switch v := v.(type) {
+	case *Account:
+		delete(x.accounts, v.Name)
+	case *Service:
+		delete(x.services, v.Name)
+	case *Key:
+		x.dropKey(*v)
 	case *Route:
 		k := routeKey{v.Method, firstSegment(v.Path)}
-		x.routes[k] = append(x.routes[k], *v)
-		x.byName[v.Name] = *v
+		x.routes[k] = slices.DeleteFunc(slices.Clone(x.routes[k]), func(o Route) bool { return o.Name == v.Name })
+		delete(x.byName, v.Name)
 	case *Event:
 		for _, route := range v.Routes {
-			x.events[route] = append(x.events[route], *v)
+			x.events[route] = slices.DeleteFunc(slices.Clone(x.events[route]), func(o Event) bool { return o.Name == v.Name })
 		}
 	}
 }
 
+// dropKey leaves the hash alone where another key resource holds it.
+func (x *index) dropKey(k Key) {
+	if x.keys[k.Hash].Name == k.Name {
+		delete(x.keys, k.Hash)
+	}
+}
+
 func firstSegment(path string) string {
 	path = strings.TrimPrefix(path, "/")
 	segment, _, _ := strings.Cut(path, "/")
--- a/internal/policy/reducer/member.go
+++ b/internal/policy/reducer/member.go
@@ -86,10 +86,29 @@
 	LoanMS int64 `json:"loan-ms,omitempty"`
 }
 
-// MemberList returns the members ordered by ID.
-func (s *State) MemberList() []Member {
+// MemberList returns the members ordered by ID. The list must not be changed.
+func (s *State) MemberList() []Member { return s.members }
+
+// order renews the ordered list of members.
+func (s *State) order() {
 	list := slices.Collect(maps.Values(s.Members))
-	slices.SortFunc(list, func(a, b Member) int { return cmp.Compare(a.ID(), b.ID()) })
+	slices.SortFunc(list, func(a, b Member) int {
+		return cmp.Or(cmp.Compare(a.VM, b.VM), cmp.Compare(a.Incarnation, b.Incarnation))
+	})
+	s.members = list
+}
+
+// Neighbours returns the n members that follow a member in the ring of all members.
+func (s *State) Neighbours(id string, n int) []Member {
+	count := len(s.members)
+	at := slices.IndexFunc(s.members, func(m Member) bool { return m.ID() == id })
+	if at < 0 {
+		return nil
+	}
+	var list []Member
+	for i := range min(n, count-1) {
+		list = append(list, s.members[(at+1+i)%count])
+	}
 	return list
 }
 
@@ -118,6 +137,7 @@
 	}
 	s.Members = maps.Clone(s.Members)
 	s.Members[m.ID()] = m
+	s.order()
 	for i := range s.Shards {
 		s.Shards[i] = s.regroup(i, append(slices.Clone(s.Shards[i].Group), m.ID()))
 	}
@@ -160,6 +180,7 @@
 func (s *State) drop(id string, fenced bool, loanMS int64) {
 	s.Members = maps.Clone(s.Members)
 	delete(s.Members, id)
+	s.order()
 	if !fenced && s.Witness.has(id) {
 		s.Witness.Ended = append(slices.Clone(s.Witness.Ended), id)
 	}
--- a/internal/policy/reducer/reducer.go
+++ b/internal/policy/reducer/reducer.go
@@ -46,6 +46,8 @@
 	SnapshotAsOf int64
 	recent       []Outcome
 	index        *index
+	// members is Members ordered by ID.
+	members []Member
 }
 
 // recentOutcomes is how many outcomes are kept to recognise repeated records.
@@ -153,9 +155,10 @@
 	if err := Validate(c.Kind, c.Name, c.Spec); err != nil {
 		return err
 	}
+	s.index = s.index.without(s.Resources[id])
 	s.Resources = maps.Clone(s.Resources)
 	s.Resources[id] = Resource{Kind: c.Kind, Name: c.Name, Version: s.Offset, Spec: c.Spec}
-	s.index = newIndex(s.Resources)
+	s.index = s.index.with(s.Resources[id])
 	return nil
 }
 
@@ -163,9 +166,9 @@
 	if _, ok := s.Resources[id]; !ok {
 		return fmt.Errorf("no %s %s", id.Kind, id.Name)
 	}
+	s.index = s.index.without(s.Resources[id])
 	s.Resources = maps.Clone(s.Resources)
 	delete(s.Resources, id)
-	s.index = newIndex(s.Resources)
 	return nil
 }
 
@@ -217,6 +220,7 @@
 	for _, m := range doc.Members {
 		s.Members[m.ID()] = m
 	}
+	s.order()
 	maps.Copy(s.Successors, doc.Successors)
 	s.Offset = doc.Offset
 	s.Witness = doc.Witness
--- a/internal/policy/router/router.go
+++ b/internal/policy/router/router.go
@@ -26,7 +26,7 @@
 const unreachedService = 10 * time.Millisecond
 
 // cost estimates the time until the target would answer.
-func (c Candidate) cost() time.Duration {
+func (c *Candidate) cost() time.Duration {
 	service := c.ServiceTime
 	if service == 0 {
 		service = unreachedService
@@ -62,64 +62,63 @@
 // Choose takes the cheaper of two candidates picked at random, after leaving out those that drain,
 // are suspected, are ejected or do not admit the call. Where every candidate is suspected or ejected,
 // the suspicion is not believed. Members in other data centres are picked only when they are cheaper.
+// The list is reordered.
 func Choose(list []Candidate, req Request) (Candidate, Refusal) {
-	reachable := filter(list, func(c Candidate) bool {
-		return !c.Draining && !contains(req.Tried, c.Member)
-	})
+	reachable := keep(list, func(c *Candidate) bool { return !c.Draining && !contains(req.Tried, c.Member) })
 	if len(reachable) == 0 {
 		return Candidate{}, NoTarget
 	}
-	healthy := filter(reachable, func(c Candidate) bool { return !c.Suspect && !c.Ejected })
+	healthy := keep(reachable, func(c *Candidate) bool { return !c.Suspect && !c.Ejected })
 	if len(healthy) == 0 {
 		healthy = reachable
 	}
-	open := filter(healthy, func(c Candidate) bool { return req.Later || req.Priority < c.Level })
+	open := keep(healthy, func(c *Candidate) bool { return req.Later || req.Priority < c.Level })
 	if len(open) == 0 {
 		return Candidate{}, Shed
 	}
-	return pick(open, req.Random), Fits
+	return *pick(open, req.Random), Fits
 }
 
-func pick(list []Candidate, random uint64) Candidate {
-	near := filter(list, func(c Candidate) bool { return c.Local })
-	far := filter(list, func(c Candidate) bool { return !c.Local })
+func pick(list []Candidate, random uint64) *Candidate {
+	near := keep(list, func(c *Candidate) bool { return c.Local })
+	far := list[len(near):]
 	switch {
 	case len(near) == 0:
 		return cheaperOfTwo(far, random)
 	case len(far) == 0:
 		return cheaperOfTwo(near, random)
 	default:
-		a := cheaperOfTwo(near, random)
-		b := cheaperOfTwo(far, random>>16)
-		return cheaper(a, b)
+		return cheaper(cheaperOfTwo(near, random), cheaperOfTwo(far, random>>16))
 	}
 }
 
-func cheaperOfTwo(list []Candidate, random uint64) Candidate {
+func cheaperOfTwo(list []Candidate, random uint64) *Candidate {
 	n := uint64(len(list))
 	i := random % n
 	if n == 1 {
-		return list[i]
+		return &list[i]
 	}
 	j := (i + 1 + (random>>8)%(n-1)) % n
-	return cheaper(list[i], list[j])
+	return cheaper(&list[i], &list[j])
 }
 
-func cheaper(a, b Candidate) Candidate {
+func cheaper(a, b *Candidate) *Candidate {
 	if b.cost() < a.cost() {
 		return b
 	}
 	return a
 }
 
-func filter(list []Candidate, keep func(Candidate) bool) []Candidate {
-	kept := make([]Candidate, 0, len(list))
-	for _, c := range list {
-		if keep(c) {
-			kept = append(kept, c)
+// keep moves the candidates that match to the front and returns them.
+func keep(list []Candidate, match func(*Candidate) bool) []Candidate {
+	n := 0
+	for i := range list {
+		if match(&list[i]) {
+			list[n], list[i] = list[i], list[n]
+			n++
 		}
 	}
-	return kept
+	return list[:n]
 }
 
 func contains(list []string, s string) bool {
--- /dev/null
+++ b/internal/policy/router/router_test.go
@@ -0,0 +1,120 @@
+package router_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/plantainwheel/plantainwheel/internal/policy/router"
+	"gotest.tools/v3/assert"
+)
+
+func candidate(name string, change func(*router.Candidate)) router.Candidate {
+	c := router.Candidate{Member: name, Local: true, Limit: 10, Level: 512, ServiceTime: 10 * time.Millisecond}
+	change(&c)
+	return c
+}
+
+// TestChoose draws a thousand choices and checks who gets work and who does not.
+func TestChoose(t *testing.T) {
+	plain := func(*router.Candidate) {}
+	cases := []struct {
+		name       string
+		list       []router.Candidate
+		tried      []string
+		want       router.Refusal
+		some, none []string
+	}{
+		{name: "nobody", want: router.NoTarget},
+		{name: "equal", list: []router.Candidate{candidate("a", plain), candidate("b", plain)}, some: []string{"a", "b"}},
+		{
+			name: "drains",
+			list: []router.Candidate{candidate("a", plain), candidate("b", func(c *router.Candidate) { c.Draining = true })},
+			some: []string{"a"}, none: []string{"b"},
+		},
+		{
+			name: "ejected",
+			list: []router.Candidate{candidate("a", plain), candidate("b", func(c *router.Candidate) { c.Ejected = true })},
+			some: []string{"a"}, none: []string{"b"},
+		},
+		{
+			name: "all are suspected",
+			list: []router.Candidate{candidate("a", func(c *router.Candidate) { c.Suspect = true })},
+			some: []string{"a"},
+		},
+		{
+			name: "tried already", tried: []string{"a"}, want: router.NoTarget,
+			list: []router.Candidate{candidate("a", plain)},
+		},
+		{
+			name: "level refuses", want: router.Shed,
+			list: []router.Candidate{candidate("a", func(c *router.Candidate) { c.Level = 5 })},
+		},
+		{
+			name: "own data centre first",
+			list: []router.Candidate{candidate("a", plain), candidate("b", func(c *router.Candidate) { c.Local = false; c.RoundTrip = time.Millisecond })},
+			some: []string{"a"}, none: []string{"b"},
+		},
+		{
+			name: "spills over when the own data centre is full",
+			list: []router.Candidate{
+				candidate("a", func(c *router.Candidate) { c.InFlight = 30 }),
+				candidate("b", func(c *router.Candidate) { c.Local = false; c.RoundTrip = time.Millisecond }),
+			},
+			some: []string{"b"}, none: []string{"a"},
+		},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			rng := rand.New(rand.NewPCG(1, 2))
+			count := map[string]int{}
+			for range 1000 {
+				got, refusal := router.Choose(c.list, router.Request{Priority: 100, Tried: c.tried, Random: rng.Uint64()})
+				assert.Equal(t, refusal, c.want)
+				count[got.Member]++
+			}
+			for _, name := range c.some {
+				assert.Assert(t, count[name] > 300, "%v", count)
+			}
+			for _, name := range c.none {
+				assert.Equal(t, count[name], 0)
+			}
+		})
+	}
+}
+
+// TestOutlier checks ejection, the single probe after it, and the return.
+func TestOutlier(t *testing.T) {
+	now := time.Date(2026, 12, 3, 0, 0, 0, 0, time.UTC)
+	var o router.Outlier
+	for range 4 {
+		o.Observe(now, false)
+	}
+	assert.Assert(t, !o.Ejected(now))
+	o.Observe(now, false)
+	assert.Assert(t, o.Ejected(now))
+	now = now.Add(time.Second)
+	assert.Assert(t, !o.Ejected(now))
+	o.Probe()
+	assert.Assert(t, o.Ejected(now), "one call at a time probes")
+	o.Observe(now, false)
+	assert.Assert(t, o.Ejected(now.Add(1900*time.Millisecond)), "the next ejection is longer")
+	o.Observe(now, true)
+	assert.Assert(t, !o.Ejected(now))
+}
+
+func BenchmarkChoose(b *testing.B) {
+	for _, n := range []int{4, 64, 512} {
+		var list []router.Candidate
+		for i := range n {
+			list = append(list, candidate(fmt.Sprint(i), func(c *router.Candidate) { c.Local = i%3 == 0 }))
+		}
+		b.Run(fmt.Sprintf("targets=%d", n), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				router.Choose(list, router.Request{Priority: 3, Random: 12345})
+			}
+		})
+	}
+}
