Bring control traffic down, pass slots on in one record, watch ring neighbours

Change: witnesses exchange positions only; samples of 4 entries go to two ring neighbours and one random peer, once a second; a node asks the witnesses once its evidence has used half of its time. A transfer serves all receivers at once. Conclusion: to be measured again.

--- a/internal/node/follower/follower.go
+++ b/internal/node/follower/follower.go
@@ -221,6 +221,14 @@
 	return f.table.Confirmed(f.Clock())
 }
 
+// Ages says whether the evidence has used up half of its time.
+func (f *Follower) Ages() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	age, ok := f.table.Age(f.Clock())
+	return !ok || age > f.Window/2
+}
+
 // Quorum says whether a majority of the witnesses has answered of late.
 func (f *Follower) Quorum() bool {
 	f.mu.Lock()
--- a/internal/node/roster/roster.go
+++ b/internal/node/roster/roster.go
@@ -184,7 +184,7 @@
 func (r *Roster) Sample(n int, random uint64) []Entry {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if len(r.names) == 0 {
+	if len(r.names) == 0 || n <= 0 {
 		return nil
 	}
 	list := make([]Entry, 0, n)
--- a/internal/node/runner/node.go
+++ b/internal/node/runner/node.go
@@ -92,6 +92,7 @@
 		Events:  n.Events,
 		Token:   cfg.FleetToken,
 		TLS:     links.TLS,
+		Control: n.Metrics.NewCounter("plantainwheel_control_bytes_total"),
 		Clock:   time.Now,
 	}
 	if links.Peers == nil {
--- a/internal/node/steward/steward.go
+++ b/internal/node/steward/steward.go
@@ -24,7 +24,7 @@
 	proposeTimeout  = 3 * time.Second
 	exchangeTimeout = time.Second
 	// sampleSize bounds the roster entries of one exchange.
-	sampleSize = 8
+	sampleSize = 4
 	// forgetAfter is how many suspect times a silent VM without membership is remembered.
 	forgetAfter = 4
 )
@@ -148,7 +148,7 @@
 		next := s.Follower.WaitChange()
 		if now := s.Follower.State().Offset; now != offset {
 			offset = now
-			s.exchangeWith(ctx, s.witnessAddresses())
+			s.exchangeWith(ctx, s.witnessAddresses(), 0)
 			continue
 		}
 		select {
@@ -158,11 +158,17 @@
 	}
 }
 
-// ExchangeAll exchanges with the witnesses, the ring neighbours and one random peer.
+// ExchangeAll exchanges positions with the witnesses, and samples of the roster too with the ring
+// neighbours and one random peer.
 func (s *Steward) ExchangeAll(ctx context.Context) {
 	s.Entry()
 	s.enroll()
-	s.exchangeWith(ctx, s.partners())
+	partners := s.partners()
+	witnesses := slices.DeleteFunc(s.witnessAddresses(), func(a string) bool { return slices.Contains(partners, a) })
+	var wg sync.WaitGroup
+	wg.Go(func() { s.exchangeWith(ctx, partners, sampleSize) })
+	wg.Go(func() { s.exchangeWith(ctx, witnesses, 0) })
+	wg.Wait()
 }
 
 // enroll notes the members of the fold in the roster whenever the fold has moved.
@@ -174,7 +180,7 @@
 }
 
 func (s *Steward) partners() []string {
-	list := s.witnessAddresses()
+	var list []string
 	for _, m := range s.Follower.State().Neighbours(s.Self(), planner.RingNeighbours) {
 		list = append(list, m.PeerAddress)
 	}
@@ -187,13 +193,13 @@
 	return s.others(list)
 }
 
-// witnessAddresses lists the witnesses that a node asks: all of them where it is one itself or has
-// no recent evidence.
+// witnessAddresses lists the witnesses that a node asks: all of them where it is one itself or its
+// evidence ages.
 func (s *Steward) witnessAddresses() []string {
 	state := s.Follower.State()
 	self := s.Self()
 	ids := slices.Concat(state.Witness.Members, state.Witness.Previous)
-	if !slices.Contains(ids, self) && s.Follower.Confirmed() {
+	if !slices.Contains(ids, self) && !s.Follower.Ages() {
 		return nil
 	}
 	var list []string
@@ -211,19 +217,20 @@
 	return slices.DeleteFunc(list, func(a string) bool { return a == s.PeerAddress })
 }
 
-func (s *Steward) exchangeWith(ctx context.Context, addresses []string) {
+// exchangeWith exchanges positions with nodes, and with them a sample of the roster.
+func (s *Steward) exchangeWith(ctx context.Context, addresses []string, sample int) {
 	var wg sync.WaitGroup
 	for _, a := range addresses {
-		wg.Go(func() { s.exchange(ctx, a) })
+		wg.Go(func() { s.exchange(ctx, a, sample) })
 	}
 	wg.Wait()
 }
 
-func (s *Steward) exchange(ctx context.Context, address string) {
+func (s *Steward) exchange(ctx context.Context, address string, sample int) {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	sentAt := s.Clock()
-	answer, err := s.Peers.Exchange(ctx, address, s.message())
+	answer, err := s.Peers.Exchange(ctx, address, s.message(sample))
 	if err != nil {
 		return
 	}
@@ -231,8 +238,8 @@
 	s.Follower.Learn(sentAt, answer.Position, answer.Records, answer.Snapshot)
 }
 
-func (s *Steward) message() Message {
-	return Message{Position: s.Follower.Position(), Entries: s.Roster.Sample(sampleSize, rand.Uint64())}
+func (s *Steward) message(sample int) Message {
+	return Message{Position: s.Follower.Position(), Entries: s.Roster.Sample(sample, rand.Uint64())}
 }
 
 // Answer takes in a peer's side of an exchange and returns this node's.
@@ -240,7 +247,7 @@
 	s.Roster.Merge(msg.Entries)
 	s.Follower.Observe(msg.Position)
 	s.Entry()
-	out := s.message()
+	out := s.message(len(msg.Entries))
 	out.Records, out.Snapshot = s.Follower.Since(msg.Position.Offset)
 	return out
 }
@@ -267,7 +274,7 @@
 // transfer stops lending from slots and passes them on. It lends from them again where it is certain
 // that no transfer was recorded.
 func (s *Steward) transfer(ctx context.Context, rec reducer.Record) {
-	slots := rec.Transfer.Slots
+	slots := rec.Transfer.Slots()
 	s.Slots.Close(ctx, slots)
 	rec.Transfer.LoanMS = s.loanMS(ctx)
 	err := s.propose(ctx, rec)
--- a/internal/peer/messenger/client.go
+++ b/internal/peer/messenger/client.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/plantainwheel/plantainwheel/internal/event/recorder"
 	"github.com/plantainwheel/plantainwheel/internal/node/broker"
 	"github.com/plantainwheel/plantainwheel/internal/node/claimer"
@@ -40,6 +41,8 @@
 	TLS *tls.Config
 	// Clock returns the time.
 	Clock func() time.Time
+	// Control counts the bytes of messages that are not calls; nil leaves them out.
+	Control *metrics.Counter
 
 	once    sync.Once
 	http    *http.Client
@@ -64,7 +67,7 @@
 
 func (c *Client) peer(address string) Peer {
 	c.once.Do(func() {
-		c.http = &http.Client{Transport: stamper{newTransport(c.TLS), c.Events, c.Token}}
+		c.http = &http.Client{Transport: stamper{newTransport(c.TLS), c.Events, c.Token, c.Control}}
 		c.clients = map[string]Peer{}
 	})
 	scheme := "http://"
--- a/internal/peer/messenger/messenger.go
+++ b/internal/peer/messenger/messenger.go
@@ -5,8 +5,10 @@
 
 import (
 	"net/http"
+	"strings"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/plantainwheel/plantainwheel/internal/event/recorder"
 	"github.com/plantainwheel/plantainwheel/internal/node/broker"
 	"github.com/plantainwheel/plantainwheel/internal/node/follower"
@@ -306,6 +308,18 @@
 	next   http.RoundTripper
 	events *recorder.Ring
 	token  string
+	// control counts the bytes of messages that are not calls, in both directions.
+	control *metrics.Counter
+}
+
+// headerBytes stands for the headers of one message, compressed, with its frames.
+const headerBytes = 100
+
+func (s stamper) count(req *http.Request, resp *http.Response) {
+	if s.control == nil || strings.HasSuffix(req.URL.Path, "/Forward") {
+		return
+	}
+	s.control.AddInt64(2*headerBytes + max(req.ContentLength, 0) + max(resp.ContentLength, 0))
 }
 
 // RoundTrip implements http.RoundTripper.
@@ -315,6 +329,7 @@
 	req.Header.Set("Authorization", "Bearer "+s.token)
 	resp, err := s.next.RoundTrip(req)
 	if err == nil {
+		s.count(req, resp)
 		s.events.Witness(recorder.ParseStamp(resp.Header.Get(stampHeader)))
 	}
 	return resp, err
--- a/internal/policy/planner/planner.go
+++ b/internal/policy/planner/planner.go
@@ -34,7 +34,7 @@
 
 // slotSlack is the share by which a holder may exceed its fair number of slots. Each move of a slot
 // stops its lending for the length of a loan, so small differences are left.
-const slotSlack = 0.5
+const slotSlack = 0.25
 
 // Plan returns the next record to propose, if any.
 func Plan(s *reducer.State, v View) (reducer.Record, bool) {
@@ -118,7 +118,8 @@
 	return reducer.Record{Witnesses: &reducer.Witnesses{Base: s.Witness.Since, Members: want}}, true
 }
 
-// planTransfer passes on slots that this node holds beyond its fair share.
+// planTransfer passes on the slots that this node holds beyond its fair share, to all members that hold
+// fewer than theirs.
 func planTransfer(s *reducer.State, v View) (reducer.Record, bool) {
 	self := v.Self.ID()
 	counts := map[string]int{}
@@ -133,17 +134,25 @@
 	if len(mine) <= fair+int(slotSlack*float64(fair)) {
 		return reducer.Record{}, false
 	}
-	to, fewest := self, len(mine)
+	moves := share(s, v, mine[:len(mine)-fair], counts, fair)
+	if len(moves) == 0 {
+		return reducer.Record{}, false
+	}
+	return reducer.Record{Transfer: &reducer.Transfer{From: self, Moves: moves}}, true
+}
+
+// share gives slots to the members that hold fewer than the fair share.
+func share(s *reducer.State, v View, slots []int, counts map[string]int, fair int) []reducer.Move {
+	var moves []reducer.Move
 	for _, m := range s.MemberList() {
-		if counts[m.ID()] < fewest && !slices.Contains(v.Silent, m.VM) {
-			to, fewest = m.ID(), counts[m.ID()]
+		n := min(len(slots), fair-counts[m.ID()])
+		if n <= 0 || slices.Contains(v.Silent, m.VM) {
+			continue
 		}
+		moves = append(moves, reducer.Move{To: m.ID(), Slots: slots[:n]})
+		slots = slots[n:]
 	}
-	n := min(len(mine)-fair, fair-fewest)
-	if n <= 0 || to == self {
-		return reducer.Record{}, false
-	}
-	return reducer.Record{Transfer: &reducer.Transfer{From: self, To: to, Slots: mine[:n]}}, true
+	return moves
 }
 
 // planSnapshot writes a snapshot when the last one has aged. Any node may: equal prefixes give equal
--- a/internal/policy/reducer/member.go
+++ b/internal/policy/reducer/member.go
@@ -254,16 +254,20 @@
 }
 
 func (s *State) transfer(t *Transfer) error {
-	if _, ok := s.Members[t.To]; !ok {
-		return errUnknown
-	}
-	for _, i := range t.Slots {
-		if i < 0 || i >= Slots || s.Slots[i].Holder != t.From {
-			return fmt.Errorf("slot %d is not held by %s", i, t.From)
+	for _, m := range t.Moves {
+		if _, ok := s.Members[m.To]; !ok {
+			return errUnknown
+		}
+		for _, i := range m.Slots {
+			if i < 0 || i >= Slots || s.Slots[i].Holder != t.From {
+				return fmt.Errorf("slot %d is not held by %s", i, t.From)
+			}
 		}
 	}
-	for _, i := range t.Slots {
-		s.Slots[i] = Slot{Holder: t.To, Since: s.Offset, LoanMS: t.LoanMS}
+	for _, m := range t.Moves {
+		for _, i := range m.Slots {
+			s.Slots[i] = Slot{Holder: m.To, Since: s.Offset, LoanMS: t.LoanMS}
+		}
 	}
 	return nil
 }
--- a/internal/policy/reducer/record.go
+++ b/internal/policy/reducer/record.go
@@ -56,13 +56,27 @@
 // Transfer moves rate slots from a holder that has already stopped lending from them.
 type Transfer struct {
 	From  string `json:"from"`
-	To    string `json:"to"`
-	Slots []int  `json:"slots"`
+	Moves []Move `json:"moves"`
 	// LoanMS is how long loans from the slots may last from now, in milliseconds; 0 means their full
 	// time.
 	LoanMS int64 `json:"loan-ms,omitempty"`
 }
 
+// Move gives slots to a member.
+type Move struct {
+	To    string `json:"to"`
+	Slots []int  `json:"slots"`
+}
+
+// Slots lists all slots that are passed on.
+func (t Transfer) Slots() []int {
+	var list []int
+	for _, m := range t.Moves {
+		list = append(list, m.Slots...)
+	}
+	return list
+}
+
 // Witnesses replaces the set of members whose majority confirms a fold.
 type Witnesses struct {
 	// Base is the offset of the witness set that is replaced.
--- a/internal/policy/reducer/reducer_test.go
+++ b/internal/policy/reducer/reducer_test.go
@@ -40,7 +40,9 @@
 	case 5:
 		rec.Fence = &reducer.Fence{Member: member().ID()}
 	case 6:
-		rec.Transfer = &reducer.Transfer{From: member().ID(), To: member().ID(), Slots: []int{rapid.IntRange(-1, 64).Draw(t, "slot")}}
+		rec.Transfer = &reducer.Transfer{From: member().ID(), Moves: []reducer.Move{
+			{To: member().ID(), Slots: []int{rapid.IntRange(-1, 64).Draw(t, "slot")}},
+		}}
 	default:
 		return []byte(rapid.SampledFrom([]string{"", "{}", `{"id":"x"}`, `{"id":"x","join":{},"leave":{}}`}).Draw(t, "junk"))
 	}
@@ -115,7 +117,7 @@
 func FuzzDecode(f *testing.F) {
 	f.Add([]byte(`{"id":"1","change":{"kind":"route","name":"a","spec":{"service":"s","method":"GET","path":"/","timeout-ms":1}}}`))
 	f.Add([]byte(`{"id":"1","snapshot":{"as-of":3,"state":{}}}`))
-	f.Add([]byte(`{"id":"1","transfer":{"slots":[-1]}}`))
+	f.Add([]byte(`{"id":"1","transfer":{"moves":[{"slots":[-1]}]}}`))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		s, _ := reducer.Fold(reducer.New(), 1, data)
 		if s.Offset != 1 {
--- a/internal/setting/loader/setting.go
+++ b/internal/setting/loader/setting.go
@@ -100,7 +100,7 @@
 		LogLevel:       "info",
 		Control:        true,
 		Confirmation:   Duration{3 * time.Second},
-		ExchangeEvery:  Duration{500 * time.Millisecond},
+		ExchangeEvery:  Duration{time.Second},
 		SuspectAfter:   Duration{4 * time.Second},
 		SnapshotEvery:  Duration{time.Minute},
 		Retention:      Duration{10 * time.Minute},
