--- a/internal/load/assembler/bench_test.go
+++ b/internal/load/assembler/bench_test.go
@@ -22,7 +22,7 @@
 
 func prefix(n int) string { return fmt.Sprintf("127.%d.%d", 200+os.Getpid()%50, n) }
 
-func start(tb testing.TB, n, vms int, serviceTime time.Duration) *assembler.Fleet {
+func start(tb testing.TB, n, vms int, serviceTime time.Duration, change func(*loader.Settings)) *assembler.Fleet {
 	spec := func(v any) json.RawMessage {
 		data, err := json.Marshal(v)
 		assert.NilError(tb, err)
@@ -38,7 +38,8 @@
 				Service: "s", Method: "GET", Path: "/r", Open: true, Idempotent: true, TimeoutMS: 2000,
 			})},
 		},
-		Control: true,
+		Control:  true,
+		Settings: change,
 	})
 	assert.NilError(tb, err)
 	tb.Cleanup(fleet.Close)
@@ -65,7 +66,7 @@
 func BenchmarkControl(b *testing.B) {
 	for i, n := range []int{4, 8, 16, 32, 64} {
 		b.Run(fmt.Sprintf("nodes=%d", n), func(b *testing.B) {
-			fleet := start(b, i+1, n, time.Millisecond)
+			fleet := start(b, i+1, n, time.Millisecond, nil)
 			for b.Loop() {
 				idle(b, fleet, n)
 			}
@@ -90,7 +91,7 @@
 
 // BenchmarkAdded measures the latency that two nodes add to calls of 5 ms, against the target itself.
 func BenchmarkAdded(b *testing.B) {
-	fleet := start(b, 9, 6, 5*time.Millisecond)
+	fleet := start(b, 9, 6, 5*time.Millisecond, nil)
 	direct := []string{}
 	for _, t := range fleet.Targets("s") {
 		direct = append(direct, "http://"+t.Config.Address)
