--- a/internal/load/generator/generator.go
+++ b/internal/load/generator/generator.go
@@ -42,7 +42,6 @@
 	// Client sends the requests.
 	Client *http.Client
 
-	mu      sync.Mutex
 	results []Result
 }
 
--- a/internal/node/runner/fleet_test.go
+++ b/internal/node/runner/fleet_test.go
@@ -11,7 +11,6 @@
 
 	"github.com/plantainwheel/plantainwheel/internal/node/broker"
 	"github.com/plantainwheel/plantainwheel/internal/node/claimer"
-	"github.com/plantainwheel/plantainwheel/internal/node/roster"
 	"github.com/plantainwheel/plantainwheel/internal/node/runner"
 	"github.com/plantainwheel/plantainwheel/internal/node/steward"
 	"github.com/plantainwheel/plantainwheel/internal/node/teller"
@@ -527,6 +526,4 @@
 	assert.Assert(w.t, ok(), what)
 }
 
-func (w *world) entry(name string) roster.Entry { return w.vms[name].Steward.Entry() }
-
 func ran(r broker.Reply) bool { return r.Outcome == retrier.Ran && r.Code == broker.CodeNone }
--- a/internal/node/runner/rate_test.go
+++ b/internal/node/runner/rate_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"math"
 	"slices"
 	"sync"
@@ -149,8 +148,8 @@
 				over := max(excess(large.admitted, 100, 40), excess(small.admitted, 10, 5))
 				assert.Assert(t, over <= 1e-6, "a window exceeds rate and burst by %.3f", over)
 				share := float64(small.rate) / float64(small.sent)
-				t.Log(fmt.Sprintf("large: admitted/(rate x time + burst) %.3f; small: sent %d ran %d refused by rate %d other %d",
-					float64(len(large.admitted))/(100*span.Seconds()+40), small.sent, small.ran, small.rate, small.other))
+				t.Logf("large: admitted/(rate x time + burst) %.3f; small: sent %d ran %d refused by rate %d other %d",
+					float64(len(large.admitted))/(100*span.Seconds()+40), small.sent, small.ran, small.rate, small.other)
 				assert.Assert(t, share <= c.wrongful, "%d of %d within the rate refused", small.rate, small.sent)
 			})
 		})
--- a/internal/node/teller/teller.go
+++ b/internal/node/teller/teller.go
@@ -154,6 +154,7 @@
 			t.hold(now, n, folded)
 		case t.slots[n].since != 0:
 			t.slots[n] = slot{}
+			delete(t.winding, n)
 		}
 	}
 }
@@ -172,10 +173,8 @@
 type winding int
 
 const (
-	// full lends on all terms.
-	full winding = iota
-	// short lends only to requests that wait.
-	short
+	// short lends only to requests that wait; without any winding a slot lends on all terms.
+	short winding = iota + 1
 	// closed lends nothing.
 	closed
 )
