--- a/internal/node/claimer/claimer.go
+++ b/internal/node/claimer/claimer.go
@@ -69,6 +69,7 @@
 	mu     sync.Mutex
 	table  granter.Table
 	closed bool
+	ended  bool
 	jobs   sync.WaitGroup
 }
 
@@ -151,7 +152,9 @@
 	registrars := c.registrars(state, quorums)
 	votes := make(chan granter.Vote, len(registrars))
 	for _, member := range registrars {
-		c.jobs.Go(func() { votes <- c.ask(ctx, member, req) })
+		if !c.spawn(func() { votes <- c.ask(ctx, member, req) }) {
+			votes <- granter.Vote{From: member, Status: granter.Behind}
+		}
 	}
 	return c.collect(ctx, quorums, votes, len(registrars))
 }
@@ -220,7 +223,7 @@
 			c.Finish(res)
 			continue
 		}
-		c.jobs.Go(func() { c.tellOne(member, res) })
+		c.spawn(func() { c.tellOne(member, res) })
 	}
 }
 
@@ -266,5 +269,21 @@
 	c.closed = false
 }
 
-// Close waits for the messages under way.
-func (c *Claimer) Close() { c.jobs.Wait() }
+// spawn runs a job that Close waits for. After Close it runs none.
+func (c *Claimer) spawn(job func()) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ended {
+		return false
+	}
+	c.jobs.Go(job)
+	return true
+}
+
+// Close sends no further messages and waits for those under way.
+func (c *Claimer) Close() {
+	c.mu.Lock()
+	c.ended = true
+	c.mu.Unlock()
+	c.jobs.Wait()
+}
--- a/internal/node/runner/app.go
+++ b/internal/node/runner/app.go
@@ -97,7 +97,7 @@
 	return &server{name: name, address: address, tls: tlsConfig, http: &http.Server{
 		Handler:           handler,
 		Protocols:         protocols,
-		TLSConfig:         tlsConfig,
+		TLSConfig:         tlsConfig.Clone(),
 		MaxHeaderBytes:    maxHeaderBytes,
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
--- a/internal/peer/messenger/client.go
+++ b/internal/peer/messenger/client.go
@@ -58,8 +58,9 @@
 	} else {
 		protocols.SetHTTP2(true)
 	}
+	// The transport adds to its configuration, and the node's server has the same one.
 	return &http.Transport{
-		TLSClientConfig: cfg,
+		TLSClientConfig: cfg.Clone(),
 		Protocols:       protocols,
 		HTTP2:           &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
 	}
