--- a/internal/load/assembler/assembler.go
+++ b/internal/load/assembler/assembler.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/plantainwheel/plantainwheel/internal/node/runner"
+	"github.com/plantainwheel/plantainwheel/internal/node/waiter"
 	"github.com/plantainwheel/plantainwheel/internal/operator/client"
 	"github.com/plantainwheel/plantainwheel/internal/setting/loader"
 	"github.com/plantainwheel/plantainwheel/internal/standin/platform"
@@ -161,7 +162,7 @@
 		if slots == wantSlots {
 			return nil
 		}
-		pause(ctx, readyPoll)
+		waiter.Sleep(ctx, readyPoll)
 	}
 	return fmt.Errorf("%w: %d rate slots are open", ErrNotReady, slots)
 }
@@ -176,16 +177,7 @@
 		if ctx.Err() != nil {
 			return fmt.Errorf("%w: %s %s: %w", ErrNotReady, d.Kind, d.Name, err)
 		}
-		pause(ctx, readyPoll)
-	}
-}
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
+		waiter.Sleep(ctx, readyPoll)
 	}
 }
 
--- a/internal/load/generator/generator.go
+++ b/internal/load/generator/generator.go
@@ -12,6 +12,7 @@
 
 	"github.com/google/uuid"
 	"github.com/plantainwheel/plantainwheel/internal/caller/server"
+	"github.com/plantainwheel/plantainwheel/internal/node/waiter"
 	"github.com/plantainwheel/plantainwheel/internal/policy/retrier"
 	"github.com/plantainwheel/plantainwheel/internal/target/dispatcher"
 )
@@ -66,7 +67,7 @@
 	start := time.Now()
 	wg.Go(func() { g.inject(ctx, start) })
 	for i, a := range arrivals {
-		if !waitUntil(ctx, start.Add(a.at)) {
+		if !waiter.Sleep(ctx, time.Until(start.Add(a.at))) {
 			g.results = g.results[:i]
 			break
 		}
@@ -84,25 +85,10 @@
 	return g.results, ctx.Err()
 }
 
-func waitUntil(ctx context.Context, at time.Time) bool {
-	d := time.Until(at)
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
-
 // inject switches the faults of the plan.
 func (g *Generator) inject(ctx context.Context, start time.Time) {
 	for _, f := range g.Plan.Faults {
-		if !waitUntil(ctx, start.Add(f.At.Duration)) {
+		if !waiter.Sleep(ctx, time.Until(start.Add(f.At.Duration))) {
 			return
 		}
 		req, err := http.NewRequestWithContext(ctx, http.MethodPut, f.URL, strings.NewReader(f.Body))
@@ -133,7 +119,7 @@
 		if res.Good || final(res) {
 			break
 		}
-		pause(ctx, wait)
+		waiter.Sleep(ctx, wait)
 	}
 	res.Took = time.Since(start.Add(a.at))
 	return res
@@ -149,18 +135,6 @@
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // attempt sends a request once and returns how long to wait before the next attempt.
 func (g *Generator) attempt(ctx context.Context, class Class, entry, id string, res *Result) time.Duration {
 	wait := class.Backoff.Duration
--- a/internal/node/broker/dispatch.go
+++ b/internal/node/broker/dispatch.go
@@ -4,10 +4,10 @@
 	"context"
 	"errors"
 	"net/http"
-	"time"
 
 	"github.com/plantainwheel/plantainwheel/internal/event/recorder"
 	"github.com/plantainwheel/plantainwheel/internal/node/roster"
+	"github.com/plantainwheel/plantainwheel/internal/node/waiter"
 	"github.com/plantainwheel/plantainwheel/internal/policy/admitter"
 	"github.com/plantainwheel/plantainwheel/internal/policy/reducer"
 	"github.com/plantainwheel/plantainwheel/internal/policy/retrier"
@@ -31,7 +31,7 @@
 		if reply.Outcome == retrier.NotRun {
 			tried = append(tried, member)
 		}
-		if !pause(ctx, retrier.Backoff(attempt, b.fraction())) {
+		if !waiter.Sleep(ctx, retrier.Backoff(attempt, b.fraction())) {
 			return b.interrupted(ctx, reply.Outcome)
 		}
 	}
@@ -114,17 +114,6 @@
 	})
 }
 
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
-
 // interrupted is the reply to a call whose deadline has passed or whose caller has gone.
 func (b *Broker) interrupted(ctx context.Context, outcome retrier.Outcome) Reply {
 	code := CodeCancelled
--- a/internal/node/follower/follower.go
+++ b/internal/node/follower/follower.go
@@ -12,6 +12,7 @@
 
 	"github.com/google/uuid"
 	"github.com/plantainwheel/plantainwheel/internal/event/recorder"
+	"github.com/plantainwheel/plantainwheel/internal/node/waiter"
 	"github.com/plantainwheel/plantainwheel/internal/platform/client"
 	"github.com/plantainwheel/plantainwheel/internal/policy/confirmer"
 	"github.com/plantainwheel/plantainwheel/internal/policy/reducer"
@@ -86,7 +87,7 @@
 func (f *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		if err := f.Poll(ctx, f.pollWait()); err != nil {
-			sleep(ctx, pollRetry)
+			waiter.Sleep(ctx, pollRetry)
 		}
 	}
 }
@@ -94,15 +95,6 @@
 // pollWait keeps a long poll well within the window, since its evidence dates from its start.
 func (f *Follower) pollWait() time.Duration { return min(maxPollWait, f.Window/4) }
 
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // Poll reads one page and folds it.
 func (f *Follower) Poll(ctx context.Context, wait time.Duration) error {
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
--- a/internal/node/guard/guard.go
+++ b/internal/node/guard/guard.go
@@ -35,6 +35,7 @@
 	draining bool
 	running  int
 	waiting  map[string]chan error
+	watched  bool
 	idle     chan struct{}
 }
 
@@ -91,6 +92,7 @@
 	case admitter.Queue:
 		wait := make(chan error, 1)
 		g.waiting[e.ID] = wait
+		g.watch()
 		return wait, nil
 	case admitter.ShedLevel:
 		return nil, ErrLevel
@@ -169,26 +171,22 @@
 	}
 }
 
-// Run refuses queued calls that have waited too long, until ctx ends.
-func (g *Guard) Run(ctx context.Context) {
-	tick := time.NewTicker(sweepEvery)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-			g.sweep()
-		}
+// watch arranges for a sweep while calls are queued. The caller holds mu.
+func (g *Guard) watch() {
+	if g.watched || len(g.waiting) == 0 {
+		return
 	}
+	g.watched = true
+	time.AfterFunc(sweepEvery, g.sweep)
 }
 
+// sweep refuses queued calls that have waited too long.
 func (g *Guard) sweep() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.ready && g.Control {
-		g.wake(g.adm.Next(g.Clock()))
-	}
+	g.watched = false
+	g.wake(g.adm.Next(g.Clock()))
+	g.watch()
 }
 
 // Drain refuses new and queued calls from now on.
--- a/internal/node/runner/node.go
+++ b/internal/node/runner/node.go
@@ -226,7 +226,6 @@
 	n.stop = cancel
 	n.tasks.Go(func() { n.Follower.Run(ctx) })
 	n.tasks.Go(func() { n.Steward.Run(ctx) })
-	n.tasks.Go(func() { n.Guard.Run(ctx) })
 	n.tasks.Go(func() { n.Teller.Run(ctx) })
 }
 
--- a/internal/node/steward/steward.go
+++ b/internal/node/steward/steward.go
@@ -14,6 +14,7 @@
 	"github.com/plantainwheel/plantainwheel/internal/event/recorder"
 	"github.com/plantainwheel/plantainwheel/internal/node/follower"
 	"github.com/plantainwheel/plantainwheel/internal/node/roster"
+	"github.com/plantainwheel/plantainwheel/internal/node/waiter"
 	"github.com/plantainwheel/plantainwheel/internal/platform/client"
 	"github.com/plantainwheel/plantainwheel/internal/policy/planner"
 	"github.com/plantainwheel/plantainwheel/internal/policy/reducer"
@@ -122,25 +123,12 @@
 // Run exchanges and proposes until ctx ends.
 func (s *Steward) Run(ctx context.Context) {
 	var wg sync.WaitGroup
-	wg.Go(func() { every(ctx, s.ExchangeEvery, s.ExchangeAll) })
-	wg.Go(func() { every(ctx, planEvery, s.Upkeep) })
+	wg.Go(func() { waiter.Every(ctx, s.ExchangeEvery, s.ExchangeAll) })
+	wg.Go(func() { waiter.Every(ctx, planEvery, s.Upkeep) })
 	wg.Go(func() { s.push(ctx) })
 	wg.Wait()
 }
 
-func every(ctx context.Context, span time.Duration, step func(context.Context)) {
-	tick := time.NewTicker(span)
-	defer tick.Stop()
-	for {
-		step(ctx)
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-		}
-	}
-}
-
 // push exchanges with the witnesses as soon as the fold moves, so that changes settle at once.
 func (s *Steward) push(ctx context.Context) {
 	offset := int64(0)
--- a/internal/node/teller/teller.go
+++ b/internal/node/teller/teller.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/plantainwheel/plantainwheel/internal/node/waiter"
 	"github.com/plantainwheel/plantainwheel/internal/policy/lender"
 	"github.com/plantainwheel/plantainwheel/internal/policy/reducer"
 )
@@ -25,7 +26,7 @@
 const (
 	askTimeout = 80 * time.Millisecond
 	failRetry  = 100 * time.Millisecond
-	aheadEvery = 20 * time.Millisecond
+	aheadEvery = 50 * time.Millisecond
 )
 
 // Terms are the loan terms of the fleet.
@@ -186,12 +187,7 @@
 // loans have ended, so that the next holder need not wait for them.
 func (t *Teller) Close(ctx context.Context, slots []int) {
 	t.wind(slots, short)
-	timer := time.NewTimer(Terms.Loan + Terms.Margin)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
+	waiter.Sleep(ctx, Terms.Loan+Terms.Margin)
 	t.wind(slots, closed)
 }
 
@@ -315,17 +311,10 @@
 
 // Run borrows ahead of demand until ctx ends.
 func (t *Teller) Run(ctx context.Context) {
-	tick := time.NewTicker(aheadEvery)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-			t.Hold()
-			t.Ahead(ctx)
-		}
-	}
+	waiter.Every(ctx, aheadEvery, func(ctx context.Context) {
+		t.Hold()
+		t.Ahead(ctx)
+	})
 }
 
 // Ahead borrows once for each account whose stock falls below its demand.
