Count wrongful refusals as the shortfall of an account; README tour checked

Cause: the README's load plan reported 694 wrongful refusals of 3,609. The count took each request that an ideal bucket would have covered on arrival; with an account above its rate, its own retries take those tokens, so the count says nothing. Ruled out: lost tokens on that scale (cafetera got 2,443 requests of about 2,570 due). Change: wrongful is by how many requests an account got fewer than its rate and burst cover, as far as some were refused by rate; the former count stays as refused-within. For an account within its rate both are the same. Conclusion: the measure can be read again.

--- a/internal/load/reporter/reporter.go
+++ b/internal/load/reporter/reporter.go
@@ -32,7 +32,11 @@
 	Refused int `json:"refused"`
 	// Unknown counts requests without an answer or with an unknown outcome.
 	Unknown int `json:"unknown"`
-	// Wrongful counts requests refused by rate although they were within their account's rate.
+	// RefusedWithin counts requests refused by rate that were within their account's rate when they
+	// arrived. Of an account above its rate, others may have taken their tokens by trying again.
+	RefusedWithin int `json:"refused-within"`
+	// Wrongful is by how many an account got fewer requests than its rate and burst cover, as far as
+	// some were refused by rate.
 	Wrongful int `json:"wrongful"`
 	// Within counts requests within their account's rate, GoodWithin the good ones among them.
 	Within     int `json:"within"`
@@ -118,6 +122,10 @@
 	r.Total = *total
 	r.Importances = importances.list()
 	r.Accounts = accounts.list()
+	r.Total.Wrongful = 0
+	for _, a := range r.Accounts {
+		r.Total.Wrongful += a.Wrongful
+	}
 	r.Classes = classes.list()
 	r.Points = points(plan, results)
 	r.Phases = phases(plan, results)
@@ -183,7 +191,7 @@
 	case res.Outcome == retrier.NotRun.String():
 		g.Refused++
 		if res.Within && res.Code == string(broker.CodeRate) {
-			g.Wrongful++
+			g.RefusedWithin++
 		}
 	default:
 		g.Unknown++
@@ -191,6 +199,7 @@
 }
 
 func (g *Group) close() {
+	g.Wrongful = max(0, min(g.RefusedWithin, g.Within-g.Good-g.Unknown))
 	g.P50MS = float64(g.latency.ValueAtQuantile(50)) / 1000
 	g.P99MS = float64(g.latency.ValueAtQuantile(99)) / 1000
 }
