Discard votes that took too long; bound request ids on open routes too

Cause: reading the code: between a registrar's check that its fold is recent and its vote, and between the votes and the run, both processes may be paused (two VMs of one host). With a long request deadline the run could then rest on votes of a group that has been replaced meanwhile. Ruled out: the deadline of the request as a guard (up to 600 s by declaration). The bound on a caller's id now holds on open routes. Conclusion: mended; clocks that stand still while a VM is suspended stay unproved.

--- a/internal/node/broker/entry.go
+++ b/internal/node/broker/entry.go
@@ -19,6 +19,9 @@
 		return b.final(started, Call{}, refuse(CodeNoRoute, retrier.NotRun, 0))
 	}
 	call := b.newCall(route, in)
+	if len(in.RequestID) > maxRequestID {
+		return b.final(started, call, refuse(CodeTooLong, retrier.NotRun, 0))
+	}
 	account, refusal := b.authenticate(route, in)
 	if refusal != nil {
 		return b.final(started, call, *refusal)
@@ -53,10 +56,6 @@
 		r := refuse(CodeBadKey, retrier.NotRun, 0)
 		return reducer.Account{}, &r
 	}
-	if len(in.RequestID) > maxRequestID {
-		r := refuse(CodeTooLong, retrier.NotRun, 0)
-		return reducer.Account{}, &r
-	}
 	return account, nil
 }
 
--- a/internal/node/claimer/claimer.go
+++ b/internal/node/claimer/claimer.go
@@ -84,14 +84,14 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.limit()
+	c.configure()
 	// The group is read after the confirmation, which then holds for it too.
 	st := granter.Standing{Self: c.Self(), Confirmed: c.Fold.Confirmed(), Closed: c.closed}
 	st.Since = c.since(shard)
 	return c.table.Vote(c.Clock(), req, st)
 }
 
-func (c *Claimer) limit() {
+func (c *Claimer) configure() {
 	c.table.Retention = c.Retention
 	c.table.Capacity = c.Capacity
 }
@@ -122,7 +122,12 @@
 	defer cancel()
 	for range acquireRounds {
 		var decision granter.Decision
+		began := c.Clock()
 		decision, answer = c.round(ctx, id, executor)
+		if c.Clock().Sub(began) > voteTimeout {
+			// This node or a registrar was paused: the votes may rest on a fold that is no longer recent.
+			break
+		}
 		switch decision {
 		case granter.Run:
 			return granter.Answer{}, false, nil
