--- a/internal/policy/planner/planner.go
+++ b/internal/policy/planner/planner.go
@@ -118,8 +118,11 @@
 	return reducer.Record{Witnesses: &reducer.Witnesses{Base: s.Witness.Since, Members: want}}, true
 }
 
-// planTransfer passes on the slots that this node holds beyond its fair share, to all members that hold
-// fewer than theirs.
+// maxMove is the most slots that are passed on at once, so that most slices of an account stay in use.
+const maxMove = reducer.Slots / 4
+
+// planTransfer passes on slots that this node holds beyond its fair share, to members that hold fewer
+// than theirs.
 func planTransfer(s *reducer.State, v View) (reducer.Record, bool) {
 	self := v.Self.ID()
 	counts := map[string]int{}
@@ -134,7 +137,7 @@
 	if len(mine) <= fair+int(slotSlack*float64(fair)) {
 		return reducer.Record{}, false
 	}
-	moves := share(s, v, mine[:len(mine)-fair], counts, fair)
+	moves := share(s, v, mine[:min(len(mine)-fair, maxMove)], counts, fair)
 	if len(moves) == 0 {
 		return reducer.Record{}, false
 	}
