--- a/internal/caller/server/server_test.go
+++ b/internal/caller/server/server_test.go
@@ -36,7 +36,9 @@
 func serve(t *testing.T) (*echo, *httptest.Server) {
 	gin.SetMode(gin.ReleaseMode)
 	e := &echo{}
-	s := httptest.NewServer((&server.Server{Broker: e, MaxBodyBytes: 100}).Handler())
+	s := httptest.NewUnstartedServer((&server.Server{Broker: e, MaxBodyBytes: 100}).Handler())
+	s.Config.MaxHeaderBytes = 1 << 10
+	s.Start()
 	t.Cleanup(s.Close)
 	return e, s
 }
@@ -103,3 +105,16 @@
 		}
 	})
 }
+
+// TestLargeHeader checks that a header beyond the bound is refused before anything runs.
+func TestLargeHeader(t *testing.T) {
+	e, s := serve(t)
+	req, err := http.NewRequest(http.MethodGet, s.URL+"/large", nil)
+	assert.NilError(t, err)
+	req.Header.Set("X-Large", strings.Repeat("x", 1<<16))
+	resp, err := http.DefaultClient.Do(req)
+	assert.NilError(t, err)
+	resp.Body.Close()
+	assert.Equal(t, resp.StatusCode, http.StatusRequestHeaderFieldsTooLarge)
+	assert.Equal(t, e.last.Path, "")
+}
