Let the teller say how long closed loans last; drop dead code

Cause: reading the whole change once more: the steward and the node each worked out by themselves how long loans of closed slots may still last, from a constant that repeated the terms; the roster moved targets through a function of which every call used one half; two methods had no caller. Change: Teller.Close returns the time; enlist and delist in place of list; unused Fleet.Operators and Service.Appends removed. No test was touched.

--- a/internal/load/assembler/assembler.go
+++ b/internal/load/assembler/assembler.go
@@ -184,9 +184,6 @@
 // Callers returns the nodes' addresses for callers.
 func (f *Fleet) Callers() []string { return f.urls(callerPort) }
 
-// Operators returns the nodes' addresses for operators.
-func (f *Fleet) Operators() []string { return f.urls(operatorPort) }
-
 // Metrics returns the nodes' addresses for metrics.
 func (f *Fleet) Metrics() []string { return f.urls(metricsPort) }
 
--- a/internal/node/roster/roster.go
+++ b/internal/node/roster/roster.go
@@ -90,7 +90,7 @@
 	if !ok {
 		v := &record{Entry: e, member: e.Member(), heard: now}
 		r.records[e.VM] = v
-		r.list(v, "", e.Service)
+		r.enlist(v)
 		at, _ := slices.BinarySearch(r.names, e.VM)
 		r.names = slices.Insert(r.names, at, e.VM)
 		return
@@ -107,36 +107,40 @@
 	if e.Incarnation > old.Incarnation {
 		old.outlier = router.Outlier{}
 	}
-	r.list(old, old.Service, "")
+	r.delist(old)
 	old.Entry = e
 	old.member = e.Member()
 	old.heard = now
-	r.list(old, "", e.Service)
+	r.enlist(old)
 }
 
-// list moves a VM from the targets of one service to those of another. Either may be empty.
-func (r *Roster) list(v *record, before, after string) {
-	if before == after {
+// enlist adds a VM to the targets of its service, if it has one.
+func (r *Roster) enlist(v *record) {
+	if v.Service == "" {
 		return
 	}
-	if before != "" {
-		list := r.side(before, v.DataCentre)
-		*list = slices.DeleteFunc(*list, func(vm string) bool { return vm == v.VM })
-	}
-	if after != "" {
-		list := r.side(after, v.DataCentre)
-		*list = append(*list, v.VM)
-		slices.Sort(*list)
+	list := r.side(v)
+	*list = append(*list, v.VM)
+	slices.Sort(*list)
+}
+
+// delist takes a VM out of the targets of its service.
+func (r *Roster) delist(v *record) {
+	if v.Service == "" {
+		return
 	}
+	list := r.side(v)
+	*list = slices.DeleteFunc(*list, func(vm string) bool { return vm == v.VM })
 }
 
-func (r *Roster) side(service, dataCentre string) *[]string {
-	g, ok := r.byService[service]
+// side returns the list that a VM belongs to.
+func (r *Roster) side(v *record) *[]string {
+	g, ok := r.byService[v.Service]
 	if !ok {
 		g = &group{}
-		r.byService[service] = g
+		r.byService[v.Service] = g
 	}
-	if dataCentre == r.DataCentre {
+	if v.DataCentre == r.DataCentre {
 		return &g.near
 	}
 	return &g.far
@@ -162,7 +166,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if old, ok := r.records[vm]; ok {
-		r.list(old, old.Service, "")
+		r.delist(old)
 		delete(r.records, vm)
 		r.names = slices.DeleteFunc(r.names, func(v string) bool { return v == vm })
 	}
--- a/internal/node/runner/node.go
+++ b/internal/node/runner/node.go
@@ -130,7 +130,6 @@
 		Events:        n.Events,
 		Clock:         time.Now,
 		Describe:      n.describe,
-		ShortLoan:     teller.ShortLoan,
 		Fenced:        n.Claimer.Reset,
 		ExchangeEvery: cfg.ExchangeEvery.Duration,
 		SuspectAfter:  cfg.SuspectAfter.Duration,
@@ -234,15 +233,11 @@
 	if err := n.Guard.Idle(ctx); err != nil {
 		n.Log.Warn().Err(err).Msg("calls still run at the end of the drain")
 	}
-	loanMS := teller.ShortLoan.Milliseconds()
-	n.Teller.Close(ctx, allSlots())
-	if ctx.Err() != nil {
-		loanMS = 0
-	}
+	loans := n.Teller.Close(ctx, allSlots())
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), leaveTimeout)
 	defer cancel()
 	successor := n.Claimer.HandOver(ctx, n.heirs())
-	n.Steward.Leave(ctx, successor, loanMS)
+	n.Steward.Leave(ctx, successor, loans)
 	n.Events.Add(recorder.Event{Kind: recorder.Stopped, Detail: "successor " + successor})
 }
 
--- a/internal/node/steward/steward.go
+++ b/internal/node/steward/steward.go
@@ -45,7 +45,8 @@
 
 // Slots stops and resumes lending.
 type Slots interface {
-	Close(ctx context.Context, slots []int)
+	// Close returns for how long loans of the slots may still last.
+	Close(ctx context.Context, slots []int) time.Duration
 	Reopen(slots []int)
 }
 
@@ -71,8 +72,6 @@
 	Clock func() time.Time
 	// Describe fills in the target's part of the node's own entry.
 	Describe func(*roster.Entry)
-	// ShortLoan is how long loans of closed slots may still last.
-	ShortLoan time.Duration
 	// Fenced is called after this incarnation was removed and before the next one joins.
 	Fenced func()
 	// ExchangeEvery, SuspectAfter, SnapshotEvery and Witnesses are settings.
@@ -263,8 +262,7 @@
 // that no transfer was recorded.
 func (s *Steward) transfer(ctx context.Context, rec reducer.Record) {
 	slots := rec.Transfer.Slots()
-	s.Slots.Close(ctx, slots)
-	rec.Transfer.LoanMS = s.loanMS(ctx)
+	rec.Transfer.LoanMS = s.Slots.Close(ctx, slots).Milliseconds()
 	err := s.propose(ctx, rec)
 	if errors.Is(err, follower.ErrUnknown) {
 		s.uncertain = true
@@ -278,15 +276,6 @@
 	}
 }
 
-// loanMS returns how long loans of closed slots may last: the short time unless the wait for the long
-// ones was broken off.
-func (s *Steward) loanMS(ctx context.Context) int64 {
-	if ctx.Err() != nil {
-		return 0
-	}
-	return s.ShortLoan.Milliseconds()
-}
-
 func (s *Steward) propose(ctx context.Context, rec reducer.Record) error {
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
@@ -361,12 +350,12 @@
 }
 
 // Leave tells the peers that this node leaves and proposes the record. The node must have stopped
-// granting and lending before; its loans may last for loanMS more, or for their full time with 0.
-func (s *Steward) Leave(ctx context.Context, successor string, loanMS int64) {
+// granting and lending before; its loans may last for a span more.
+func (s *Steward) Leave(ctx context.Context, successor string, loans time.Duration) {
 	s.left.Store(true)
 	s.ExchangeAll(ctx)
 	if _, ok := s.Follower.State().Members[s.Self()]; ok {
-		leave := &reducer.Leave{Member: s.Self(), Successor: successor, LoanMS: loanMS}
+		leave := &reducer.Leave{Member: s.Self(), Successor: successor, LoanMS: loans.Milliseconds()}
 		_ = s.propose(ctx, reducer.Record{ID: "leave-" + s.Self(), Leave: leave})
 	}
 }
--- a/internal/node/teller/teller.go
+++ b/internal/node/teller/teller.go
@@ -180,15 +180,17 @@
 	closed
 )
 
-// ShortLoan is how long loans of closed slots may still last.
-const ShortLoan = 150 * time.Millisecond
-
-// Close stops lending from slots before they are passed on. It lends on short terms only until all long
-// loans have ended, so that the next holder need not wait for them.
-func (t *Teller) Close(ctx context.Context, slots []int) {
+// Close stops lending from slots before they are passed on, and returns for how long their loans may
+// still last. It lends on short terms only until all long loans have ended, so that the next holder
+// need not wait for them, unless ctx ends before that.
+func (t *Teller) Close(ctx context.Context, slots []int) time.Duration {
 	t.wind(slots, short)
-	waiter.Sleep(ctx, Terms.Loan+Terms.Margin)
+	ended := waiter.Sleep(ctx, Terms.Loan+Terms.Margin)
 	t.wind(slots, closed)
+	if !ended {
+		return Terms.Loan + Terms.Margin
+	}
+	return Terms.Need + Terms.Margin
 }
 
 func (t *Teller) wind(slots []int, to winding) {
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -67,13 +67,6 @@
 	}
 }
 
-// Appends returns the number of records appended.
-func (s *Service) Appends() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.appends
-}
-
 type statsAnswer struct {
 	Appends int    `json:"appends"`
 	Faults  Faults `json:"faults"`
