--- /dev/null
+++ b/internal/fleet/tracker/tracker.go
@@ -0,0 +1,338 @@
+// Package tracker keeps what a node knows of the other nodes and their targets.
+package tracker
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/plantainwheel/plantainwheel/internal/policy/apportioner"
+	"github.com/plantainwheel/plantainwheel/internal/policy/placer"
+)
+
+// State is what becomes of a target.
+type State string
+
+// The states.
+const (
+	Ready    State = "ready"
+	Draining State = "draining"
+	Gone     State = "gone"
+)
+
+// Member is a node with its target, as it stands in the store.
+type Member struct {
+	Node string `json:"node"`
+	// Address takes requests, ControlAddress control calls and ReportAddress reports over UDP.
+	Address        string `json:"address"`
+	ControlAddress string `json:"control-address"`
+	ReportAddress  string `json:"report-address"`
+	DataCentre     string `json:"data-centre"`
+	Service        string `json:"service"`
+	Target         string `json:"target"`
+	Born           int64  `json:"born"`
+	Slots          int    `json:"slots"`
+	State          State  `json:"state"`
+	// WarmAt is when the target is no longer slow, in milliseconds since the Unix epoch.
+	WarmAt int64 `json:"warm-at"`
+}
+
+// Report is what a node tells the others from time to time.
+type Report struct {
+	_struct bool `codec:",toarray"` //nolint:unused // read by the codec
+	Node    string
+	// Started orders the processes of a node, Sequence the reports of a process.
+	Started  int64
+	Sequence uint64
+	Target   string
+	Running  int
+	Waiting  int
+	Limit    int
+	Up       bool
+	Share    float32
+	Failing  float32
+	Rows     []Row
+	Tallies  []Tally
+}
+
+// Row is what a request of a route causes at the node's target.
+type Row struct {
+	_struct bool `codec:",toarray"` //nolint:unused // read by the codec
+	Route   string
+	// HoldMs is how long it holds its slot, in milliseconds.
+	HoldMs float32
+	Calls  map[string]float32
+}
+
+// Tally is a client account's use of its rate at the node.
+type Tally struct {
+	_struct bool `codec:",toarray"` //nolint:unused // read by the codec
+	Account string
+	Window  float32
+	Demand  float32
+}
+
+const (
+	// avoidFor is how long a node is avoided that could not be reached, unless it is heard from before.
+	avoidFor = time.Second
+	// refusedFor is how long a node is avoided that refused a request which its report would let in.
+	refusedFor = 100 * time.Millisecond
+	// loadFresh is how long a reported load is believed.
+	loadFresh = 3 * time.Second
+)
+
+// Tracker is safe for concurrent use. Its lock is a leaf.
+type Tracker struct {
+	// Self names the own node, DataCentre its place.
+	Self       string
+	DataCentre string
+	// SilentAfter is when a node that sends no reports is avoided.
+	SilentAfter time.Duration
+
+	mu    sync.Mutex
+	peers map[string]*peer
+}
+
+type peer struct {
+	Member
+	report  Report
+	heardAt time.Time
+	// outstanding counts the requests sent to the node and not answered; loadOutstanding those at loadAt.
+	outstanding     int
+	running         int
+	waiting         int
+	limit           int
+	loadOutstanding int
+	loadAt          time.Time
+	avoidUntil      time.Time
+	// knownSince is when the entry was made.
+	knownSince time.Time
+}
+
+func (t *Tracker) peer(node string) *peer {
+	if t.peers == nil {
+		t.peers = map[string]*peer{}
+	}
+	p := t.peers[node]
+	if p == nil {
+		p = &peer{knownSince: time.Now()}
+		t.peers[node] = p
+	}
+	return p
+}
+
+// SetMember notes what the store says of a node.
+func (t *Tracker) SetMember(m Member) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := t.peer(m.Node)
+	if p.Target != m.Target || p.Address != m.Address || p.State != m.State {
+		p.avoidUntil = time.Time{}
+		p.heardAt = time.Now()
+	}
+	p.Member = m
+}
+
+// Drop forgets a node.
+func (t *Tracker) Drop(node string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.peers, node)
+}
+
+// Heard takes a report. It reports false for one that is older than the latest.
+func (t *Tracker) Heard(now time.Time, r *Report) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p, ok := t.peers[r.Node]
+	if !ok {
+		return false
+	}
+	old := &p.report
+	if c := cmp.Or(cmp.Compare(r.Started, old.Started), cmp.Compare(r.Sequence, old.Sequence)); c <= 0 {
+		return false
+	}
+	p.report = *r
+	p.heardAt = now
+	p.avoidUntil = time.Time{}
+	p.noteLoad(now, r.Running, r.Waiting, r.Limit)
+	return true
+}
+
+func (p *peer) noteLoad(now time.Time, running, waiting, limit int) {
+	p.running = running
+	p.waiting = waiting
+	p.limit = limit
+	p.loadAt = now
+	p.loadOutstanding = p.outstanding
+}
+
+// Loaded notes the load that came with an answer of the node.
+func (t *Tracker) Loaded(node string, running, waiting, limit int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if p, ok := t.peers[node]; ok && limit > 0 {
+		p.noteLoad(time.Now(), running, waiting, limit)
+	}
+}
+
+// Sent counts a request sent to the node; Answered takes it back.
+func (t *Tracker) Sent(node string) { t.count(node, 1) }
+
+// Answered notes that a request sent to the node has ended.
+func (t *Tracker) Answered(node string) { t.count(node, -1) }
+
+func (t *Tracker) count(node string, n int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if p, ok := t.peers[node]; ok {
+		p.outstanding = max(p.outstanding+n, 0)
+	}
+}
+
+// Unreachable notes that the node could not be reached.
+func (t *Tracker) Unreachable(node string) { t.avoid(node, avoidFor) }
+
+// Refused notes that the node's target does not take requests at present.
+func (t *Tracker) Refused(node string) { t.avoid(node, refusedFor) }
+
+func (t *Tracker) avoid(node string, span time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if p, ok := t.peers[node]; ok {
+		p.avoidUntil = time.Now().Add(span)
+	}
+}
+
+// Candidates returns the targets of a service that may run a request of the route, without the nodes that
+// were tried already, and their members in the same order.
+func (t *Tracker) Candidates(now time.Time, service, route string, tried []string) ([]placer.Candidate, []Member) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var list []placer.Candidate
+	var members []Member
+	for _, p := range t.peers {
+		if p.Service != service || p.State != Ready || slices.Contains(tried, p.Node) {
+			continue
+		}
+		list = append(list, t.candidate(now, p, route))
+		members = append(members, p.Member)
+	}
+	return list, members
+}
+
+func (t *Tracker) candidate(now time.Time, p *peer, route string) placer.Candidate {
+	c := placer.Candidate{
+		Node:    p.Node,
+		Beside:  p.Node == t.Self,
+		Near:    p.DataCentre == t.DataCentre,
+		Running: p.outstanding,
+		Limit:   p.Slots,
+		Cold:    now.UnixMilli() < p.WarmAt,
+		Avoid:   now.Before(p.avoidUntil) || t.silent(now, p),
+	}
+	if now.Sub(p.loadAt) < loadFresh && p.limit > 0 {
+		c.Running = max(p.running+p.outstanding-p.loadOutstanding, p.outstanding, 0)
+		c.Waiting = p.waiting
+		c.Limit = p.limit
+	}
+	if p.report.Target == p.Target && p.Target != "" {
+		c.Failing = float64(p.report.Failing)
+		c.Avoid = c.Avoid || !p.report.Up
+	}
+	c.Hold = p.hold(route)
+	return c
+}
+
+// hold returns how long the node's target takes for the route, or for its other routes where that one is
+// not known.
+func (p *peer) hold(route string) time.Duration {
+	for i := range p.report.Rows {
+		if r := &p.report.Rows[i]; r.Route == route {
+			return time.Duration(float64(r.HoldMs) * float64(time.Millisecond))
+		}
+	}
+	return 0
+}
+
+func (t *Tracker) silent(now time.Time, p *peer) bool {
+	return p.Node != t.Self && now.Sub(p.heardAt) > t.SilentAfter
+}
+
+// Shares returns the share of its demand that each service takes, over its targets by their slots.
+func (t *Tracker) Shares(now time.Time) map[string]float64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	sum := map[string]float64{}
+	slots := map[string]float64{}
+	for _, p := range t.peers {
+		if p.State != Ready || p.report.Sequence == 0 || t.silent(now, p) || !p.report.Up {
+			continue
+		}
+		sum[p.Service] += float64(p.report.Share) * float64(p.Slots)
+		slots[p.Service] += float64(p.Slots)
+	}
+	for service, n := range slots {
+		sum[service] /= n
+	}
+	return sum
+}
+
+// Rows returns what a request of each route causes, averaged over the targets that told it.
+func (t *Tracker) Rows() map[string]apportioner.Row {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	rows := map[string]apportioner.Row{}
+	n := map[string]float64{}
+	for _, p := range t.peers {
+		for i := range p.report.Rows {
+			r := &p.report.Rows[i]
+			row, ok := rows[r.Route]
+			if !ok {
+				row = apportioner.Row{Service: p.Service, Calls: map[string]float64{}}
+			}
+			row.Hold += float64(r.HoldMs) / 1000
+			for k, v := range r.Calls {
+				row.Calls[k] += float64(v)
+			}
+			rows[r.Route] = row
+			n[r.Route]++
+		}
+	}
+	for name, row := range rows {
+		row.Hold /= n[name]
+		for k := range row.Calls {
+			row.Calls[k] /= n[name]
+		}
+		rows[name] = row
+	}
+	return rows
+}
+
+// Others returns the other members.
+func (t *Tracker) Others() []Member {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	list := make([]Member, 0, len(t.peers))
+	for _, p := range t.peers {
+		if p.Node != t.Self {
+			list = append(list, p.Member)
+		}
+	}
+	slices.SortFunc(list, func(a, b Member) int { return cmp.Compare(a.Node, b.Node) })
+	return list
+}
+
+// Live returns the number of members that were heard from lately, the own node included.
+func (t *Tracker) Live(now time.Time) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n := 1
+	for _, p := range t.peers {
+		if p.Node != t.Self && !t.silent(now, p) {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/policy/apportioner/apportioner.go
@@ -0,0 +1,167 @@
+// Package apportioner decides at the entry which whole requests are let in, so that the tightest service
+// below them is filled in the order of rank and, within a rank, with what uses it least.
+package apportioner
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Class is a kind of request that is let in or refused alike.
+type Class struct {
+	Route string
+	Rank  int
+}
+
+// Costs tells what one request of a route uses of each service below it, in slot seconds.
+type Costs map[string]map[string]float64
+
+const (
+	// demandSpan is the time over which the demand is averaged.
+	demandSpan = time.Second
+	// forgetAfter is when a class without requests is dropped.
+	forgetAfter = 10 * time.Second
+	// mostCredit bounds what a class saves up, in requests: more would let bursts through.
+	mostCredit = 2.0
+)
+
+// Apportioner holds the entry's plan. It is not safe for concurrent use.
+type Apportioner struct {
+	classes map[Class]*class
+	planned time.Time
+}
+
+type class struct {
+	Class
+	// offered counts the requests since the last plan; rate is the demand a second.
+	offered int
+	rate    float64
+	// fraction is what may be let in; credit is what is saved up for the next request.
+	fraction float64
+	credit   float64
+	last     time.Time
+}
+
+// Admit counts a request as demand and says whether it is let in.
+func (a *Apportioner) Admit(now time.Time, c Class) bool {
+	if a.classes == nil {
+		a.classes = map[Class]*class{}
+	}
+	s := a.classes[c]
+	if s == nil {
+		s = &class{Class: c, fraction: 1}
+		a.classes[c] = s
+	}
+	s.offered++
+	s.last = now
+	if s.fraction >= 1 {
+		return true
+	}
+	s.credit = min(s.credit+s.fraction, mostCredit)
+	if s.credit < 1 {
+		return false
+	}
+	s.credit--
+	return true
+}
+
+// Fraction returns the part of a class that is let in.
+func (a *Apportioner) Fraction(c Class) float64 {
+	if s := a.classes[c]; s != nil {
+		return s.fraction
+	}
+	return 1
+}
+
+// Plan works out what is let in until the next plan, from the share of its demand that each tight service
+// takes. A service that shares does not name takes everything.
+func (a *Apportioner) Plan(now time.Time, costs Costs, shares map[string]float64) {
+	a.measure(now)
+	for _, s := range a.classes {
+		s.fraction = 1
+	}
+	for service, share := range shares {
+		if share < 1 {
+			a.fill(service, share, costs)
+		}
+	}
+}
+
+func (a *Apportioner) measure(now time.Time) {
+	span := now.Sub(a.planned)
+	if a.planned.IsZero() || span <= 0 {
+		a.planned = now
+		return
+	}
+	weight := min(1, span.Seconds()/demandSpan.Seconds())
+	for k, s := range a.classes {
+		s.rate += weight * (float64(s.offered)/span.Seconds() - s.rate)
+		s.offered = 0
+		if now.Sub(s.last) > forgetAfter {
+			delete(a.classes, k)
+		}
+	}
+	a.planned = now
+}
+
+// fill gives the share of one service to the classes that use it, the most important first.
+func (a *Apportioner) fill(service string, share float64, costs Costs) {
+	var users []*class
+	total := 0.0
+	for _, s := range a.classes {
+		if cost := costs[s.Route][service]; cost > 0 {
+			users = append(users, s)
+			total += s.rate * cost
+		}
+	}
+	slices.SortFunc(users, func(x, y *class) int {
+		return cmp.Or(
+			cmp.Compare(x.Rank, y.Rank),
+			cmp.Compare(costs[x.Route][service], costs[y.Route][service]),
+			cmp.Compare(x.Route, y.Route))
+	})
+	left := share * total
+	for _, s := range users {
+		need := s.rate * costs[s.Route][service]
+		fraction := 1.0
+		if need > left {
+			fraction = max(left, 0) / need
+		}
+		s.fraction = min(s.fraction, fraction)
+		left -= need
+	}
+}
+
+// maxDepth bounds the walk down the call graph; calls are up to 11 deep at the target size.
+const maxDepth = 12
+
+// Row is what one request of a route causes at its own service.
+type Row struct {
+	Service string
+	// Hold is the time for which it holds a slot there, in seconds.
+	Hold  float64
+	Calls map[string]float64
+}
+
+// Close works out what a request of each route uses of all services below it.
+func Close(rows map[string]Row) Costs {
+	costs := Costs{}
+	for name := range rows {
+		into := map[string]float64{}
+		add(into, rows, name, 1, maxDepth)
+		costs[name] = into
+	}
+	return costs
+}
+
+func add(into map[string]float64, rows map[string]Row, name string, times float64, depth int) {
+	row, ok := rows[name]
+	if !ok || depth == 0 {
+		return
+	}
+	into[row.Service] += times * row.Hold
+	for callee, n := range row.Calls {
+		add(into, rows, callee, times*n, depth-1)
+	}
+}
--- /dev/null
+++ b/internal/policy/tallier/tallier.go
@@ -0,0 +1,208 @@
+// Package tallier keeps client accounts within rate and burst over all nodes together.
+//
+// Each node tells the others how many requests of an account it let in within the last window and how many
+// were asked for. Well below the limit a node lets everything in. Near it, each node lets in its share of
+// the rate, by its share of the demand.
+package tallier
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// freeShare is the part of the window's limit up to which a node lets everything in. The rest covers
+	// what other nodes let in before they hear: up to a fifth of the window's limit in a report period at
+	// seven times the rate.
+	freeShare = 0.65
+	// demandSpan is the time over which the demand is averaged.
+	demandSpan = time.Second
+	// bucketSpan is how much of its share a node saves up.
+	bucketSpan = 400 * time.Millisecond
+	// slices is the number of parts in which a window is counted.
+	slices = 20
+	// leastDemand keeps a share for a node that has not been asked yet, in requests a second.
+	leastDemand = 0.2
+)
+
+// Limit is what an account may use.
+type Limit struct {
+	// Rate is in requests a second.
+	Rate float64
+	// Burst is in requests.
+	Burst float64
+}
+
+// Tally is what a node tells of one account.
+type Tally struct {
+	// Window counts the requests that were let in within the last window.
+	Window float64
+	// Demand is in requests a second.
+	Demand float64
+}
+
+// Tallier counts for one node. Times are spans since an arbitrary start on a clock that also counts while
+// the VM is suspended. It is not safe for concurrent use.
+type Tallier struct {
+	// Window is the span in which rate and burst are counted.
+	Window time.Duration
+	// Started is when the node started. Until a window later it does not know what it let in before, so it
+	// keeps to its share.
+	Started time.Duration
+
+	accounts map[string]*account
+	heard    map[string]time.Duration
+	nodes    int
+}
+
+type account struct {
+	counts  [slices]float64
+	slice   int64
+	offered float64
+	demand  float64
+	since   time.Duration
+	tokens  float64
+	filled  time.Duration
+	others  map[string]report
+	// near says that the account was close to its limit when it was last asked for.
+	near bool
+}
+
+type report struct {
+	Tally
+	at time.Duration
+}
+
+func (t *Tallier) account(now time.Duration, name string) *account {
+	if t.accounts == nil {
+		t.accounts = map[string]*account{}
+	}
+	a := t.accounts[name]
+	if a == nil {
+		a = &account{others: map[string]report{}, since: now, filled: now}
+		t.accounts[name] = a
+	}
+	a.turn(now, t.Window)
+	return a
+}
+
+// turn drops the slices that have left the window and measures the demand.
+func (a *account) turn(now, window time.Duration) {
+	current := int64(now / (window / slices))
+	for ; a.slice < current; a.slice++ {
+		if current-a.slice > slices {
+			a.slice = current - slices
+		}
+		a.counts[(a.slice+1)%slices] = 0
+	}
+	span := now - a.since
+	if span < demandSpan/4 {
+		return
+	}
+	weight := min(1, span.Seconds()/demandSpan.Seconds())
+	a.demand += weight * (a.offered/span.Seconds() - a.demand)
+	a.offered = 0
+	a.since = now
+}
+
+func (a *account) own() float64 {
+	sum := 0.0
+	for _, n := range a.counts {
+		sum += n
+	}
+	return sum
+}
+
+// Heard notes what another node tells of an account.
+func (t *Tallier) Heard(now time.Duration, node, name string, tally Tally) {
+	t.account(now, name).others[node] = report{Tally: tally, at: now}
+}
+
+// Fleet notes the number of nodes.
+func (t *Tallier) Fleet(n int) { t.nodes = n }
+
+// Admit says whether a request of the account is within its limit, and how long to wait otherwise. An
+// admitted request is counted by Count.
+func (t *Tallier) Admit(now time.Duration, name string, limit Limit) (bool, time.Duration) {
+	if limit.Rate <= 0 {
+		return true, 0
+	}
+	a := t.account(now, name)
+	a.offered++
+	most := limit.Rate*t.Window.Seconds() + limit.Burst
+	used, demand := a.fleet(now, t.Window)
+	settled := now-t.Started >= t.Window
+	a.near = used > freeShare/2*most
+	if settled && used+1 <= freeShare*most {
+		return true, 0
+	}
+	rate := limit.Rate * t.share(a, demand)
+	a.fill(now, rate)
+	if a.tokens >= 1 && used+1 <= most {
+		a.tokens--
+		return true, 0
+	}
+	return false, time.Duration((1 - min(a.tokens, 1)) / max(rate, 0.1) * float64(time.Second))
+}
+
+// Count notes that an admitted request goes on to a target.
+func (t *Tallier) Count(now time.Duration, name string) {
+	a := t.account(now, name)
+	a.counts[a.slice%slices]++
+}
+
+// fleet returns what all nodes let in within the window, as far as this one knows, and the demand. What a
+// node has let in since its report is taken to go on as before.
+func (a *account) fleet(now, window time.Duration) (used, demand float64) {
+	used = a.own()
+	demand = max(a.demand, leastDemand)
+	for node, r := range a.others {
+		age := now - r.at
+		if age > 2*window {
+			delete(a.others, node)
+			continue
+		}
+		used += r.Window + r.Demand*min(age, window/slices).Seconds()
+		demand += r.Demand
+	}
+	return used, demand
+}
+
+// share is the node's part of the demand; without news of others an equal part.
+func (t *Tallier) share(a *account, demand float64) float64 {
+	equal := 1 / float64(max(t.nodes, 1))
+	if len(a.others) == 0 && t.nodes > 1 {
+		return equal
+	}
+	return max(a.demand, leastDemand) / demand
+}
+
+func (a *account) fill(now time.Duration, rate float64) {
+	span := now - a.filled
+	a.filled = now
+	most := math.Max(1, rate*bucketSpan.Seconds())
+	a.tokens = min(a.tokens+rate*span.Seconds(), most)
+}
+
+// Urgent says whether an account is close to its limit, so that the other nodes must hear soon.
+func (t *Tallier) Urgent(now time.Duration) bool {
+	for _, a := range t.accounts {
+		if a.near && now-a.since < t.Window && a.demand > leastDemand {
+			return true
+		}
+	}
+	return false
+}
+
+// Tallies returns what this node tells of the accounts that were used within the window.
+func (t *Tallier) Tallies(now time.Duration) map[string]Tally {
+	out := map[string]Tally{}
+	for name := range t.accounts {
+		a := t.account(now, name)
+		own := a.own()
+		if own > 0 || a.demand > leastDemand {
+			out[name] = Tally{Window: own, Demand: a.demand}
+		}
+	}
+	return out
+}
