--- a/internal/policy/tallier/tallier.go
+++ b/internal/policy/tallier/tallier.go
@@ -2,7 +2,7 @@
 //
 // Each node tells the others how many requests of an account it let in within the last window and how many
 // were asked for. Well below the limit a node lets everything in. Near it, each node lets in its share of
-// the rate, by its share of the demand.
+// what fits into the window, by its share of the demand.
 package tallier
 
 import (
@@ -136,7 +136,7 @@
 	if settled && used+1 <= freeShare*most {
 		return true, 0
 	}
-	rate := limit.Rate * t.share(a, demand)
+	rate := most / t.Window.Seconds() * t.share(a, demand)
 	a.fill(now, rate)
 	if a.tokens >= 1 && used+1 <= most {
 		a.tokens--
