--- a/internal/fleet/tracker/tracker.go
+++ b/internal/fleet/tracker/tracker.go
@@ -19,6 +19,8 @@
 	Ready    State = "ready"
 	Draining State = "draining"
 	Gone     State = "gone"
+	// Stopping says that the node ends while its target stays; the node's next process attends it.
+	Stopping State = "stopping"
 )
 
 // Member is a node with its target, as it stands in the store.
--- a/internal/node/attendant/report.go
+++ b/internal/node/attendant/report.go
@@ -80,7 +80,7 @@
 	defer a.publishMu.Unlock()
 	m := a.member()
 	if m.Target != "" && m.State == tracker.Ready {
-		m.State = tracker.Draining
+		m.State = tracker.Stopping
 		a.watcher.Publish(m)
 	}
 }
--- a/internal/route/matcher/matcher.go
+++ b/internal/route/matcher/matcher.go
@@ -118,10 +118,15 @@
 // that the time taken tells nothing about the keys of others.
 func (t *Table) Account(key string) *Account { return t.keys[sha256.Sum256([]byte(key))] }
 
-// Rank returns the priority of a request of the account, which may be nil, on the route.
+// prioritySteps is more than the priorities that operators use.
+const prioritySteps = 16
+
+// Rank orders the requests of the account, which may be nil, on the route; lower goes first. An account's
+// priority goes before the route's, which orders the requests of accounts that are alike.
 func (r *Route) Rank(a *Account) int {
+	first := r.Priority
 	if a != nil && a.Ranked {
-		return a.Priority
+		first = a.Priority
 	}
-	return r.Priority
+	return first*prioritySteps + min(r.Priority, prioritySteps-1)
 }
