Work out at the entry what fits, from slots, hold times and the demand of all nodes

Cause: each target steered its own share by its load. Change: nodes report demand in slots by service; the share is slots x 0.85 x trim / demand, the trim learnt slowly from the mean load of the service. Requests count against their account at the quota check, tokens are given out in equal parts until the others have been heard.

--- a/internal/caller/gateway/share.go
+++ b/internal/caller/gateway/share.go
@@ -31,13 +31,6 @@
 	return a.tallier.Admit(timekeeper.Now(), name, limit)
 }
 
-// Count notes that an admitted request goes on to a target.
-func (a *Accounts) Count(name string) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.tallier.Count(timekeeper.Now(), name)
-}
-
 // Heard takes what another node tells of the accounts.
 func (a *Accounts) Heard(node string, tallies []tracker.Tally) {
 	now := timekeeper.Now()
@@ -84,11 +77,18 @@
 	return e.plan.Admit(time.Now(), c), e.plan.Fraction(c)
 }
 
-// Plan works out what is let in.
+// Measure returns the demand by service, in slots.
+func (e *Entrance) Measure(costs apportioner.Costs) map[string]float64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.plan.Measure(time.Now(), costs)
+}
+
+// Plan works out what is let in from the share of its demand that each service takes.
 func (e *Entrance) Plan(costs apportioner.Costs, shares map[string]float64) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.plan.Plan(time.Now(), costs, shares)
+	e.plan.Plan(costs, shares)
 }
 
 // rotation deals the requests of a route to its parts by smooth weighted round robin.
--- a/internal/fleet/tracker/tracker.go
+++ b/internal/fleet/tracker/tracker.go
@@ -52,10 +52,15 @@
 	Waiting  int
 	Limit    int
 	Up       bool
-	Share    float32
-	Failing  float32
-	Rows     []Row
-	Tallies  []Tally
+	// Load is the mean of running and waiting requests per slot of late; Trim is what the node has learnt for
+	// the service of its target.
+	Load float32
+	Trim float32
+	// Demand is what the requests that enter at the node would use of each service, in slots.
+	Demand  map[string]float32
+	Failing float32
+	Rows    []Row
+	Tallies []Tally
 }
 
 // Row is what a request of a route causes at the node's target.
@@ -262,23 +267,54 @@
 	return p.Node != t.Self && now.Sub(p.heardAt) > t.SilentAfter
 }
 
-// Shares returns the share of its demand that each service takes, over its targets by their slots.
-func (t *Tracker) Shares(now time.Time) map[string]float64 {
+// Service is what is known of all targets of a service together.
+type Service struct {
+	Slots int
+	// Load is the mean of running and waiting requests per slot, Trim the mean of what the nodes have learnt.
+	Load float64
+	Trim float64
+	// Demand is what the requests at the other nodes would use, in slots.
+	Demand float64
+}
+
+// Services returns what is known of each service.
+func (t *Tracker) Services(now time.Time) map[string]Service {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	sum := map[string]float64{}
-	slots := map[string]float64{}
+	all := map[string]Service{}
 	for _, p := range t.peers {
-		if p.State != Ready || p.report.Sequence == 0 || t.silent(now, p) || !p.report.Up {
+		if p.report.Sequence == 0 || t.silent(now, p) {
 			continue
 		}
-		sum[p.Service] += float64(p.report.Share) * float64(p.Slots)
-		slots[p.Service] += float64(p.Slots)
+		t.addDemand(all, p)
+		if p.State != Ready || !p.report.Up || p.report.Limit == 0 {
+			continue
+		}
+		s := all[p.Service]
+		s.Slots += p.report.Limit
+		s.Load += float64(p.report.Load) * float64(p.report.Limit)
+		s.Trim += float64(p.report.Trim) * float64(p.report.Limit)
+		all[p.Service] = s
+	}
+	for name, s := range all {
+		if s.Slots > 0 {
+			s.Load /= float64(s.Slots)
+			s.Trim /= float64(s.Slots)
+		}
+		all[name] = s
+	}
+	return all
+}
+
+func (t *Tracker) addDemand(all map[string]Service, p *peer) {
+	if p.Node == t.Self {
+		return
 	}
-	for service, n := range slots {
-		sum[service] /= n
+	for service, slots := range p.report.Demand {
+		s := all[service]
+		s.Demand += float64(slots)
+		all[service] = s
 	}
-	return sum
 }
 
 // Rows returns what a request of each route causes, averaged over the targets that told it.
--- a/internal/node/attendant/attendant.go
+++ b/internal/node/attendant/attendant.go
@@ -21,6 +21,7 @@
 	"github.com/plantainwheel/plantainwheel/internal/peer/forwarder"
 	"github.com/plantainwheel/plantainwheel/internal/peer/reporter"
 	"github.com/plantainwheel/plantainwheel/internal/platform/watcher"
+	"github.com/plantainwheel/plantainwheel/internal/policy/regulator"
 	"github.com/plantainwheel/plantainwheel/internal/route/courier"
 	"github.com/plantainwheel/plantainwheel/internal/route/keeper"
 	"github.com/plantainwheel/plantainwheel/internal/target/executor"
@@ -74,6 +75,12 @@
 	cancel    context.CancelFunc
 	running   sync.WaitGroup
 	publishMu sync.Mutex
+
+	// planMu guards what the last plan found; it is a leaf.
+	planMu sync.Mutex
+	demand map[string]float64
+	share  float64
+	trim   regulator.Trim
 }
 
 // NewLogger returns a logger that writes lines of JSON.
@@ -85,6 +92,7 @@
 func (a *Attendant) Build() {
 	cfg := &a.Settings
 	a.Metrics = metrics.NewSet()
+	a.share = 1
 	a.keeper = &keeper.Keeper{Decode: platform.DecodeConfig}
 	a.tracker = &tracker.Tracker{Self: cfg.Node, DataCentre: cfg.DataCentre, SilentAfter: silentAfter}
 	targets := &courier.Pool{KeepFor: targetKeep, Opened: a.Metrics.NewCounter("target_connections_opened_total").Inc}
@@ -166,14 +174,19 @@
 			}
 			if now.Sub(trimmed) >= trimEvery {
 				trimmed = now
-				for _, p := range a.pools {
-					p.Trim()
-				}
+				a.eachSecond()
 			}
 		}
 	}
 }
 
+func (a *Attendant) eachSecond() {
+	for _, p := range a.pools {
+		p.Trim()
+	}
+	a.logLoad()
+}
+
 // recall takes over the promises of an earlier process of this node.
 func (a *Attendant) recall(m tracker.Member) {
 	a.executor.Recall(executor.Target{
--- a/internal/node/attendant/report.go
+++ b/internal/node/attendant/report.go
@@ -5,14 +5,54 @@
 
 	"github.com/plantainwheel/plantainwheel/internal/fleet/tracker"
 	"github.com/plantainwheel/plantainwheel/internal/policy/apportioner"
+	"github.com/plantainwheel/plantainwheel/internal/policy/regulator"
 )
 
 // plan works out what the entrance lets in from what all nodes have told.
 func (a *Attendant) plan(now time.Time) {
 	costs := apportioner.Close(a.tracker.Rows())
-	a.gateway.Entrance.Plan(costs, a.tracker.Shares(now))
+	services := a.tracker.Services(now)
+	demand := a.gateway.Entrance.Measure(costs)
+	shares := map[string]float64{}
+	for name, s := range services {
+		shares[name] = regulator.Share(s.Slots, s.Trim, s.Demand+demand[name])
+	}
+	a.gateway.Entrance.Plan(costs, shares)
+	a.planMu.Lock()
+	defer a.planMu.Unlock()
+	a.demand = demand
+	own := a.executor.Target().Service
+	a.share = min(1, shares[own])
+	a.trim.Tick(now, services[own].Load)
+}
+
+// logLoad writes what the node knows of its target and its entrance, while the target is close to its bound.
+func (a *Attendant) logLoad() {
+	load := a.executor.Load()
+	a.planMu.Lock()
+	share, trim := a.share, a.trim.Value()
+	a.planMu.Unlock()
+	if share >= 1 && load.Failing < loggedFailing {
+		return
+	}
+	a.Log.Info().
+		Int("running", load.Running).
+		Int("waiting", load.Waiting).
+		Int("limit", load.Limit).
+		Float64("load", load.Mean).
+		Float64("share", share).
+		Float64("trim", trim).
+		Float64("failing", load.Failing).
+		Bool("up", load.Up).
+		Msg("target under load")
 }
 
+// urgentLoad is the load from which the other nodes must hear soon.
+const urgentLoad = 0.7
+
+// loggedFailing is the share of failed runs from which the target's load is logged.
+const loggedFailing = 0.1
+
 // report makes the own report. It is urgent while its target or an account is close to its bound.
 func (a *Attendant) report() (tracker.Report, bool) {
 	load := a.executor.Load()
@@ -23,9 +63,9 @@
 		Waiting: load.Waiting,
 		Limit:   load.Limit,
 		Up:      load.Up,
-		Share:   float32(load.Share),
+		Load:    float32(load.Mean),
 		Failing: float32(load.Failing),
-		Tallies: a.gateway.Accounts.Tallies(a.tracker.Live(time.Now())),
+		Tallies: a.gateway.Accounts.Tallies(a.liveNodes()),
 	}
 	for _, row := range a.executor.Rows() {
 		calls := map[string]float32{}
@@ -34,7 +74,22 @@
 		}
 		r.Rows = append(r.Rows, tracker.Row{Route: row.Route, HoldMs: float32(row.Hold.Seconds() * 1000), Calls: calls})
 	}
-	return r, load.Share < 1 || a.gateway.Accounts.Urgent()
+	a.planMu.Lock()
+	defer a.planMu.Unlock()
+	r.Trim = float32(a.trim.Value())
+	r.Demand = map[string]float32{}
+	for service, slots := range a.demand {
+		r.Demand[service] = float32(slots)
+	}
+	return r, a.share < 1 || load.Mean > urgentLoad || a.gateway.Accounts.Urgent()
+}
+
+// liveNodes returns the number of nodes that share the rates, or 0 before the members are known.
+func (a *Attendant) liveNodes() int {
+	if !a.watcher.MembersKnown() {
+		return 0
+	}
+	return a.tracker.Live(time.Now())
 }
 
 func (a *Attendant) takeReport(r *tracker.Report) {
--- a/internal/node/attendant/server.go
+++ b/internal/node/attendant/server.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 	"fmt"
-	stdlog "log"
 	"io"
+	stdlog "log"
 	"net"
 	"net/http"
 	"strconv"
@@ -22,7 +22,7 @@
 	// idleTimeout is longer than clients and other nodes keep a connection.
 	idleTimeout = 60 * time.Second
 	// probeEvery finds connections of clients that have gone silent.
-	probeEvery = 5 * time.Second
+	probeEvery  = 5 * time.Second
 	closeWithin = 150 * time.Millisecond
 	// maxAnnouncement bounds the body of an announcement.
 	maxAnnouncement = 64 << 10
--- a/internal/platform/watcher/watcher.go
+++ b/internal/platform/watcher/watcher.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"github.com/phuslu/log"
@@ -138,8 +139,9 @@
 	// Recalled is told the own record as it stood when the node started.
 	Recalled func(tracker.Member)
 
-	own      ownRecord
-	recalled bool
+	own ownRecord
+	// known says that the members were read since the start.
+	known atomic.Bool
 }
 
 // FollowConfig follows the configuration until the context ends.
@@ -186,10 +188,13 @@
 	for _, r := range records {
 		w.takeMember(r)
 	}
-	w.recalled = true
+	w.known.Store(true)
 	return true
 }
 
+// MembersKnown says whether the members were read since the start.
+func (w *Watcher) MembersKnown() bool { return w.known.Load() }
+
 func (w *Watcher) takeMember(r platform.Record) {
 	if len(r.Value) == 0 {
 		w.Tracker.Drop(r.Key)
@@ -201,7 +206,7 @@
 		return
 	}
 	if m.Node == w.Self {
-		if !w.recalled {
+		if !w.known.Load() {
 			w.Recalled(m)
 		}
 		w.own.seen(m)
--- a/internal/policy/apportioner/apportioner.go
+++ b/internal/policy/apportioner/apportioner.go
@@ -74,10 +74,21 @@
 	return 1
 }
 
+// Measure brings the demand up to date and returns it by service, in slots.
+func (a *Apportioner) Measure(now time.Time, costs Costs) map[string]float64 {
+	a.measure(now)
+	demand := map[string]float64{}
+	for _, s := range a.classes {
+		for service, cost := range costs[s.Route] {
+			demand[service] += s.rate * cost
+		}
+	}
+	return demand
+}
+
 // Plan works out what is let in until the next plan, from the share of its demand that each tight service
 // takes. A service that shares does not name takes everything.
-func (a *Apportioner) Plan(now time.Time, costs Costs, shares map[string]float64) {
-	a.measure(now)
+func (a *Apportioner) Plan(costs Costs, shares map[string]float64) {
 	for _, s := range a.classes {
 		s.fraction = 1
 	}
--- a/internal/policy/placer/placer.go
+++ b/internal/policy/placer/placer.go
@@ -27,12 +27,12 @@
 	// unknownHold stands for the hold time of a target without samples.
 	unknownHold = 50 * time.Millisecond
 	// easyLoad is the load up to which a request finds a free slot at once.
-	easyLoad = 0.7
+	easyLoad = 0.8
 	// crowding is the growth of the expected time per load above easyLoad, in hold times.
 	crowding = 6.0
 	// farPenalty is what a request is worth to keep in its data centre: answers that cross data centres are
 	// paid for, and the round trip comes twice with each call below.
-	farPenalty = 25 * time.Millisecond
+	farPenalty = 60 * time.Millisecond
 	// besidePremium is saved by a request that does not leave its VM.
 	besidePremium = 3 * time.Millisecond
 	// coldFactor is how much slower a target is that has just started.
--- a/internal/policy/regulator/regulator.go
+++ b/internal/policy/regulator/regulator.go
@@ -1,68 +1,95 @@
-// Package regulator decides what share of the demand for a target may be let in.
+// Package regulator decides how much work may be let in for a service, so that its targets are busy and
+// nothing waits long in front of them.
+//
+// What fits is known beforehand: the slots of the targets, and how long a request holds one. A trim, learnt
+// from the load that really comes about, makes good what that leaves out.
 package regulator
 
 import "time"
 
 const (
-	// Period is the time between two changes of the share. A request that was let in reaches the deepest
-	// service within some such periods.
+	// Setpoint is the load, in requests running or waiting per slot, that is steered to. Above it queues grow
+	// faster than throughput.
+	Setpoint = 0.85
+	// Period is the time between two changes of the trim.
 	Period = 100 * time.Millisecond
-	// setpoint is the load, in requests running or waiting per slot, that the share is steered to. Above it
-	// queues grow faster than throughput.
-	setpoint = 0.85
-	// gain is the relative change of the share per period and relative error. Requests reach a deep target
-	// up to 400 ms after they were let in; a higher gain oscillated.
-	gain = 0.15
-	// mostLoad caps the load that one period counts, so that a stalled target does not close the entry for
-	// longer than it takes to recover.
-	mostLoad = 2.0
+	// gain is the relative change of the trim per period and relative error. Requests reach a deep target up
+	// to 400 ms after they were let in; a faster trim oscillated.
+	gain = 0.04
+	// mostLoad caps the load that counts, so that a stalled target does not close the entry for longer than
+	// it takes to recover.
+	mostLoad  = 1.8
+	leastTrim = 0.3
+	mostTrim  = 1.15
 	// LeastShare keeps some requests coming, so that a recovery is noticed.
 	LeastShare = 0.02
 )
 
-// Regulator steers one target. It is not safe for concurrent use.
-type Regulator struct {
-	share   float64
+// Meter averages the load of one target over periods. It is not safe for concurrent use.
+type Meter struct {
 	since   time.Time
 	updated time.Time
 	load    float64
-	// area is the integral of the load since the period began, in seconds.
-	area float64
+	area    float64
+	mean    float64
 }
 
-// Share returns the share of the demand that may be let in, from LeastShare to 1.
-func (r *Regulator) Share() float64 {
-	if r.share == 0 {
-		return 1
+// Observe notes the load from now on: requests running and waiting, and the slots.
+func (m *Meter) Observe(now time.Time, running, waiting, slots int) {
+	m.advance(now)
+	m.load = float64(running+waiting) / float64(max(slots, 1))
+}
+
+func (m *Meter) advance(now time.Time) {
+	if m.updated.IsZero() {
+		m.since = now
+		m.updated = now
 	}
-	return r.share
+	m.area += m.load * now.Sub(m.updated).Seconds()
+	m.updated = now
+	span := now.Sub(m.since)
+	if span < Period {
+		return
+	}
+	m.mean = m.area / span.Seconds()
+	m.area = 0
+	m.since = now
 }
 
-// Observe notes the load from now on: requests running and waiting, and the slots.
-func (r *Regulator) Observe(now time.Time, running, waiting, slots int) {
-	r.advance(now)
-	r.load = float64(running+waiting) / float64(max(slots, 1))
+// Mean returns the mean load of the last period.
+func (m *Meter) Mean(now time.Time) float64 {
+	m.advance(now)
+	return m.mean
 }
 
-func (r *Regulator) advance(now time.Time) {
-	if r.updated.IsZero() {
-		r.since = now
-		r.updated = now
+// Trim corrects what is let in for a service. It is not safe for concurrent use.
+type Trim struct {
+	value  float64
+	ticked time.Time
+}
+
+// Value returns the present trim; 1 means that what was worked out is right.
+func (t *Trim) Value() float64 {
+	if t.value == 0 {
+		return 1
 	}
-	r.area += r.load * now.Sub(r.updated).Seconds()
-	r.updated = now
+	return t.value
 }
 
-// Tick changes the share when a period is over.
-func (r *Regulator) Tick(now time.Time) {
-	r.advance(now)
-	span := now.Sub(r.since)
-	if span < Period {
+// Tick changes the trim by the mean load of the service's targets when a period is over.
+func (t *Trim) Tick(now time.Time, load float64) {
+	if now.Sub(t.ticked) < Period {
 		return
 	}
-	mean := min(r.area/span.Seconds(), mostLoad)
-	r.area = 0
-	r.since = now
-	share := r.Share() * (1 + gain*(setpoint-mean)/setpoint)
-	r.share = min(max(share, LeastShare), 1)
+	t.ticked = now
+	load = min(load, mostLoad)
+	t.value = min(max(t.Value()*(1+gain*(Setpoint-load)/Setpoint), leastTrim), mostTrim)
+}
+
+// Share returns the part of the demand, in slots, that fits into a number of slots.
+func Share(slots int, trim, demand float64) float64 {
+	if demand <= 0 {
+		return 1
+	}
+	return min(max(Setpoint*trim*float64(slots)/demand, LeastShare), 1)
 }
--- a/internal/policy/tallier/tallier.go
+++ b/internal/policy/tallier/tallier.go
@@ -21,6 +21,8 @@
 	bucketSpan = 400 * time.Millisecond
 	// slices is the number of parts in which a window is counted.
 	slices = 20
+	// newsAfter is when a node that has started has heard from the others.
+	newsAfter = 1500 * time.Millisecond
 	// leastDemand keeps a share for a node that has not been asked yet, in requests a second.
 	leastDemand = 0.2
 )
@@ -122,7 +124,8 @@
 func (t *Tallier) Fleet(n int) { t.nodes = n }
 
 // Admit says whether a request of the account is within its limit, and how long to wait otherwise. An
-// admitted request is counted by Count.
+// admitted request counts even if it is refused later for another reason: an account far over its rate must
+// not press on the entrance with more than its rate.
 func (t *Tallier) Admit(now time.Duration, name string, limit Limit) (bool, time.Duration) {
 	if limit.Rate <= 0 {
 		return true, 0
@@ -130,51 +133,58 @@
 	a := t.account(now, name)
 	a.offered++
 	most := limit.Rate*t.Window.Seconds() + limit.Burst
-	used, demand := a.fleet(now, t.Window)
+	used, demand := a.fleet(now, t.Window, most/t.Window.Seconds())
 	settled := now-t.Started >= t.Window
 	a.near = used > freeShare/2*most
 	if settled && used+1 <= freeShare*most {
+		a.counts[a.slice%slices]++
 		return true, 0
 	}
-	rate := most / t.Window.Seconds() * t.share(a, demand)
+	rate := most / t.Window.Seconds()
+	if !settled {
+		// What was let in before the start may still be within the window, so there is no burst.
+		rate = limit.Rate
+	}
+	rate *= t.share(now, a, demand)
 	a.fill(now, rate)
 	if a.tokens >= 1 && used+1 <= most {
+		a.counts[a.slice%slices]++
 		a.tokens--
 		return true, 0
 	}
 	return false, time.Duration((1 - min(a.tokens, 1)) / max(rate, 0.1) * float64(time.Second))
 }
 
-// Count notes that an admitted request goes on to a target.
-func (t *Tallier) Count(now time.Duration, name string) {
-	a := t.account(now, name)
-	a.counts[a.slice%slices]++
-}
-
 // fleet returns what all nodes let in within the window, as far as this one knows, and the demand. What a
-// node has let in since its report is taken to go on as before.
-func (a *account) fleet(now, window time.Duration) (used, demand float64) {
-	used = a.own()
+// node has let in since its report is at most its demand, and at most its part of the account's rate.
+func (a *account) fleet(now, window time.Duration, rate float64) (used, demand float64) {
 	demand = max(a.demand, leastDemand)
 	for node, r := range a.others {
-		age := now - r.at
-		if age > 2*window {
+		if now-r.at > 2*window {
 			delete(a.others, node)
 			continue
 		}
-		used += r.Window + r.Demand*min(age, window/slices).Seconds()
 		demand += r.Demand
 	}
+	used = a.own()
+	for _, r := range a.others {
+		since := min(now-r.at, window/slices).Seconds()
+		used += r.Window + since*min(r.Demand, rate*r.Demand/demand)
+	}
 	return used, demand
 }
 
-// share is the node's part of the demand; without news of others an equal part.
-func (t *Tallier) share(a *account, demand float64) float64 {
-	equal := 1 / float64(max(t.nodes, 1))
-	if len(a.others) == 0 && t.nodes > 1 {
-		return equal
+// share is the node's part of the demand. Until the others can have told theirs it is an equal part, and
+// nothing before the number of nodes is known.
+func (t *Tallier) share(now time.Duration, a *account, demand float64) float64 {
+	switch {
+	case t.nodes == 0:
+		return 0
+	case now-t.Started < newsAfter || (len(a.others) == 0 && t.nodes > 1):
+		return 1 / float64(t.nodes)
+	default:
+		return max(a.demand, leastDemand) / demand
 	}
-	return max(a.demand, leastDemand) / demand
 }
 
 func (a *account) fill(now time.Duration, rate float64) {
--- a/internal/route/courier/courier.go
+++ b/internal/route/courier/courier.go
@@ -38,7 +38,7 @@
 	// maxHeaderBytes bounds the header of an answer.
 	maxHeaderBytes = 64 << 10
 	// maxIdle bounds the kept connections to one address.
-	maxIdle = 48
+	maxIdle     = 48
 	bufferBytes = 4 << 10
 )
 
--- a/internal/target/executor/executor.go
+++ b/internal/target/executor/executor.go
@@ -80,8 +80,8 @@
 	Running int
 	Waiting int
 	Limit   int
-	// Share is the part of the demand that may be let in.
-	Share float64
+	// Mean is the mean of running and waiting requests per slot of late.
+	Mean float64
 	// Failing is the share of the latest runs that failed.
 	Failing float64
 	Up      bool
@@ -103,7 +103,7 @@
 	downUntil time.Time
 	queue     queuer.Queue
 	waiters   map[*queuer.Entry]waiter
-	share     regulator.Regulator
+	meter     regulator.Meter
 	causes    attributor.Attributor
 	failing   float64
 	failedAt  time.Time
@@ -258,7 +258,7 @@
 }
 
 func (e *Executor) observe(now time.Time) {
-	e.share.Observe(now, e.queue.Running(), e.queue.Waiting(), e.queue.Limit)
+	e.meter.Observe(now, e.queue.Running(), e.queue.Waiting(), e.queue.Limit)
 }
 
 // run sends the job to the target.
--- a/internal/target/executor/target.go
+++ b/internal/target/executor/target.go
@@ -122,7 +122,7 @@
 		Running: e.queue.Running(),
 		Waiting: e.queue.Waiting(),
 		Limit:   e.queue.Limit,
-		Share:   e.share.Share(),
+		Mean:    e.meter.Mean(now),
 		Failing: e.failureShare(now),
 		Up:      e.unusable(now, "") == "",
 	}
@@ -134,7 +134,6 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.next(now)
-	e.share.Tick(now)
 }
 
 // Rows returns what requests cause at this target.
