Hold accounts to their limit with less waste

Cause: near its limit a node saved up at most 0.4 s of its share, one request for a small account, so empty moments lost most of the rate; and what other nodes may have let in since their report was counted as used although as much had left the window.

--- a/internal/policy/tallier/tallier.go
+++ b/internal/policy/tallier/tallier.go
@@ -17,8 +17,10 @@
 	freeShare = 0.65
 	// demandSpan is the time over which the demand is averaged.
 	demandSpan = time.Second
-	// bucketSpan is how much of its share a node saves up.
-	bucketSpan = 400 * time.Millisecond
+	// bucketSpan is how much of its share a node saves up, and leastBucket the least, in requests: an account
+	// with few requests at many nodes would lose most of its rate to empty moments.
+	bucketSpan  = 800 * time.Millisecond
+	leastBucket = 2
 	// slices is the number of parts in which a window is counted.
 	slices = 20
 	// newsAfter is when a node that has started has heard from the others.
@@ -133,10 +135,10 @@
 	a := t.account(now, name)
 	a.offered++
 	most := limit.Rate*t.Window.Seconds() + limit.Burst
-	used, demand := a.fleet(now, t.Window, most/t.Window.Seconds())
+	used, unheard, demand := a.fleet(now, t.Window, most/t.Window.Seconds())
 	settled := now-t.Started >= t.Window
 	a.near = used > freeShare/2*most
-	if settled && used+1 <= freeShare*most {
+	if settled && used+unheard+1 <= freeShare*most {
 		a.counts[a.slice%slices]++
 		return true, 0
 	}
@@ -155,9 +157,9 @@
 	return false, time.Duration((1 - min(a.tokens, 1)) / max(rate, 0.1) * float64(time.Second))
 }
 
-// fleet returns what all nodes let in within the window, as far as this one knows, and the demand. What a
-// node has let in since its report is at most its demand, and at most its part of the account's rate.
-func (a *account) fleet(now, window time.Duration, rate float64) (used, demand float64) {
+// fleet returns what all nodes let in within the window, as far as this one knows, what they may have let in
+// since they told it, and the demand. A node lets in at most its demand, and at most its part of the rate.
+func (a *account) fleet(now, window time.Duration, rate float64) (used, unheard, demand float64) {
 	demand = max(a.demand, leastDemand)
 	for node, r := range a.others {
 		if now-r.at > 2*window {
@@ -169,9 +171,10 @@
 	used = a.own()
 	for _, r := range a.others {
 		since := min(now-r.at, window/slices).Seconds()
-		used += r.Window + since*min(r.Demand, rate*r.Demand/demand)
+		used += r.Window
+		unheard += since * min(r.Demand, rate*r.Demand/demand)
 	}
-	return used, demand
+	return used, unheard, demand
 }
 
 // share is the node's part of the demand. Until the others can have told theirs it is an equal part, and
@@ -190,7 +193,7 @@
 func (a *account) fill(now time.Duration, rate float64) {
 	span := now - a.filled
 	a.filled = now
-	most := math.Max(1, rate*bucketSpan.Seconds())
+	most := math.Max(leastBucket, rate*bucketSpan.Seconds())
 	a.tokens = min(a.tokens+rate*span.Seconds(), most)
 }
 
