Mark a target down that refuses connections; count exact windows; learn calls by likelihood

Cause: (1) the executor ended a request's context before it looked whether that had ended, so a crashed target was never marked down and every lost connection read as no answer in time. (3) Online attribution of calls converged too slowly: a route without calls was given 1.9 a request. Change: the context is looked at before it is ended; one more slice, and what others may have spent alike is counted; attribution fits the last 15 s.

--- a/cmd/plantainwheel-attendant/main.go
+++ b/cmd/plantainwheel-attendant/main.go
@@ -4,6 +4,8 @@
 
 import (
 	"fmt"
+	"io"
+	"log"
 	"os"
 	"os/signal"
 	"syscall"
@@ -24,6 +26,8 @@
 }
 
 func run() error {
+	// net/http writes a line for each answer that nobody asked for; the node counts and logs garbled answers.
+	log.SetOutput(io.Discard)
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	cfg, err := platform.LoadSettings(os.Getenv(platform.SettingsVariable))
--- /dev/null
+++ b/internal/policy/apportioner/apportioner_test.go
@@ -0,0 +1,107 @@
+package apportioner_test
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"github.com/plantainwheel/plantainwheel/internal/policy/apportioner"
+	"gotest.tools/v3/assert"
+)
+
+var t0 = time.Unix(1_800_000_000, 0)
+
+// graph is a chain that multiplies: a catalogue request causes 8 calls at the last service, an order 4.
+func graph() map[string]apportioner.Row {
+	return map[string]apportioner.Row{
+		"catalogue": {Service: "window", Hold: 0.4, Calls: map[string]float64{"profile": 2}},
+		"order":     {Service: "print", Hold: 0.3, Calls: map[string]float64{"ink": 1}},
+		"profile":   {Service: "print", Hold: 0.15, Calls: map[string]float64{"ink": 1}},
+		"ink":       {Service: "store", Hold: 0.13, Calls: map[string]float64{"shop": 4}},
+		"shop":      {Service: "dispatch", Hold: 0.03},
+		"sample":    {Service: "dispatch", Hold: 0.1},
+		"stock":     {Service: "store", Hold: 0.3},
+	}
+}
+
+func TestCostsMultiply(t *testing.T) {
+	costs := apportioner.Close(graph())
+	for _, c := range []struct {
+		route string
+		want  float64
+	}{{"catalogue", 0.24}, {"order", 0.12}, {"sample", 0.1}, {"stock", 0}} {
+		assert.Assert(t, math.Abs(costs[c.route]["dispatch"]-c.want) < 1e-9, "%s: %v", c.route, costs[c.route])
+	}
+}
+
+// TestCycleEnds checks that wrongly learnt rows that call each other do not hang the plan.
+func TestCycleEnds(t *testing.T) {
+	costs := apportioner.Close(map[string]apportioner.Row{
+		"a": {Service: "x", Hold: 0.1, Calls: map[string]float64{"b": 0.5}},
+		"b": {Service: "y", Hold: 0.1, Calls: map[string]float64{"a": 0.5}},
+	})
+	assert.Assert(t, costs["a"]["x"] < 0.2)
+}
+
+type class struct {
+	apportioner.Class
+	perSecond int
+}
+
+// offer replays seconds of a mix against the plan and returns the admitted part of each class in the last.
+func offer(a *apportioner.Apportioner, mix []class, shares map[string]float64, seconds int) map[apportioner.Class]float64 {
+	costs := apportioner.Close(graph())
+	part := map[apportioner.Class]float64{}
+	now := t0
+	for range seconds {
+		clear(part)
+		for range 10 {
+			now = now.Add(100 * time.Millisecond)
+			a.Measure(now, costs)
+			a.Plan(costs, shares)
+			for _, c := range mix {
+				for range c.perSecond / 10 {
+					if a.Admit(now, c.Class) {
+						part[c.Class] += 1 / float64(c.perSecond)
+					}
+				}
+			}
+		}
+	}
+	return part
+}
+
+// TestImportantFirst replays the worst load of the print shops, 1.7 times what the deepest service can do:
+// orders are let in whole, then what uses the tight service least, and what does not use it at all.
+func TestImportantFirst(t *testing.T) {
+	catalogue := apportioner.Class{Route: "catalogue", Rank: 34}
+	order := apportioner.Class{Route: "order", Rank: 0}
+	sample := apportioner.Class{Route: "sample", Rank: 34}
+	stock := apportioner.Class{Route: "stock", Rank: 34}
+	mix := []class{{catalogue, 400}, {order, 160}, {sample, 50}, {stock, 150}}
+	var a apportioner.Apportioner
+	part := offer(&a, mix, map[string]float64{"dispatch": 0.5}, 4)
+	for _, c := range []apportioner.Class{order, sample, stock} {
+		assert.Assert(t, part[c] > 0.999, "%s: %.2f", c.Route, part[c])
+	}
+	// Demand 96 + 19.2 + 5 = 120.2 slots, of which half: 60.1 less orders and samples leaves 35.9 of 96.
+	assert.Assert(t, math.Abs(part[catalogue]-0.374) < 0.03, "catalogue: %.3f", part[catalogue])
+}
+
+// TestOrderByAccountRank checks that a higher rank goes before a cheaper request.
+func TestOrderByAccountRank(t *testing.T) {
+	high := apportioner.Class{Route: "catalogue", Rank: 2}
+	low := apportioner.Class{Route: "order", Rank: 16}
+	var a apportioner.Apportioner
+	part := offer(&a, []class{{high, 100}, {low, 200}}, map[string]float64{"dispatch": 0.5}, 4)
+	assert.Assert(t, part[high] > 0.999 && part[low] < 0.05, "high %.2f, low %.2f", part[high], part[low])
+}
+
+// TestOpensAgain checks that everything is let in once the service takes its demand.
+func TestOpensAgain(t *testing.T) {
+	catalogue := apportioner.Class{Route: "catalogue", Rank: 34}
+	var a apportioner.Apportioner
+	offer(&a, []class{{catalogue, 400}}, map[string]float64{"dispatch": 0.1}, 3)
+	part := offer(&a, []class{{catalogue, 400}}, map[string]float64{"dispatch": 1}, 1)
+	assert.Assert(t, part[catalogue] > 0.99)
+}
--- a/internal/policy/attributor/attributor.go
+++ b/internal/policy/attributor/attributor.go
@@ -1,34 +1,51 @@
 // Package attributor learns which calls a request of each route causes at the target that runs it.
 //
-// Targets do not say which request a call belongs to. Each call is shared among the routes that run when it
-// arrives, in proportion to the calls that each is known to make: expectation maximisation for a Poisson
-// process whose rate is the sum over the running requests (Dempster, Laird, Rubin 1977).
+// Targets do not say which request a call belongs to. What is seen is, in short spans, how long requests of
+// each route ran and how many calls were made. The calls are taken for a Poisson process whose rate is the
+// sum over the running requests, and its most likely rates are found by expectation maximisation (Dempster,
+// Laird, Rubin 1977; for counts, Richardson 1972 and Lucy 1974).
 package attributor
 
 import "time"
 
 const (
-	// halfLife is the age at which an observation counts half. A change of the call pattern shows after it.
-	halfLife = 8 * time.Second
-	// prior is what a route without observations is assumed to make, in calls a second of running; it lets a
-	// new route take part in the sharing.
-	prior = 0.5
-	// priorSeconds is the weight of the prior, in seconds of running.
-	priorSeconds = 0.2
+	// spanLength is the length of one observation. Calls of a request fall into the spans in which it runs.
+	spanLength = 250 * time.Millisecond
+	// spans is the number of observations that are kept: a changed pattern is learnt within 15 s.
+	spans = 60
+	// rounds is the number of iterations each time that rows are asked for; they start from the last result.
+	rounds = 8
+	// refreshAfter is the time for which a result is used.
+	refreshAfter = 500 * time.Millisecond
+	// firstGuess is where the rate of a new pair begins, in calls a second of running.
+	firstGuess = 1.0
+	// leastEnded is the number of ended requests from which a row is told.
+	leastEnded = 3.0
+	// leastCalls is the number of calls a request below which they are taken for errors.
+	leastCalls = 0.1
 )
 
 // Attributor learns from one target. It is not safe for concurrent use.
 type Attributor struct {
-	routes  map[string]*route
+	running map[string]int
+	rates   map[pair]float64
+	ring    [spans]observation
+	current int
 	updated time.Time
+	rows    []Row
+	learnt  time.Time
 }
 
-type route struct {
-	running int
-	// seconds is the decayed time of running requests; ended the decayed number that ended.
-	seconds float64
-	ended   float64
+// pair is a route and a route that it calls.
+type pair struct{ caller, callee string }
+
+// observation is what was seen in one span.
+type observation struct {
+	// seconds is the time of running by route, ended the number of requests that ended.
+	seconds map[string]float64
+	ended   map[string]float64
 	calls   map[string]float64
+	began   time.Time
 }
 
 // Row is what one request of a route causes at its target.
@@ -40,102 +57,142 @@
 	Calls map[string]float64
 }
 
-// advance ages the observations and adds the time that running requests have run since.
-func (a *Attributor) advance(now time.Time) {
-	span := now.Sub(a.updated).Seconds()
-	if a.updated.IsZero() || span <= 0 {
+// span adds the time that requests have run since, and returns the observation of now.
+func (a *Attributor) span(now time.Time) *observation {
+	if a.running == nil {
+		a.running = map[string]int{}
+		a.rates = map[pair]float64{}
 		a.updated = now
-		return
+		a.ring[0] = newObservation(now)
 	}
-	keep := decay(span)
-	for _, r := range a.routes {
-		r.seconds = r.seconds*keep + float64(r.running)*span
-		r.ended *= keep
-		for k := range r.calls {
-			r.calls[k] *= keep
+	o := &a.ring[a.current]
+	if spent := now.Sub(a.updated).Seconds(); spent > 0 {
+		for route, n := range a.running {
+			o.seconds[route] += float64(n) * spent
 		}
+		a.updated = now
 	}
-	a.updated = now
+	if now.Sub(o.began) < spanLength {
+		return o
+	}
+	a.current = (a.current + 1) % spans
+	a.ring[a.current] = newObservation(now)
+	return &a.ring[a.current]
 }
 
-// decay is linear in short spans, which is all that it is asked for.
-func decay(span float64) float64 { return max(0, 1-span*0.693/halfLife.Seconds()) }
-
-func (a *Attributor) route(name string) *route {
-	if a.routes == nil {
-		a.routes = map[string]*route{}
-	}
-	r := a.routes[name]
-	if r == nil {
-		r = &route{calls: map[string]float64{}}
-		a.routes[name] = r
-	}
-	return r
+func newObservation(now time.Time) observation {
+	return observation{seconds: map[string]float64{}, ended: map[string]float64{}, calls: map[string]float64{}, began: now}
 }
 
 // Started notes that a request of the route begins to run.
-func (a *Attributor) Started(now time.Time, name string) {
-	a.advance(now)
-	a.route(name).running++
+func (a *Attributor) Started(now time.Time, route string) {
+	a.span(now)
+	a.running[route]++
 }
 
 // Ended notes that it has ended.
-func (a *Attributor) Ended(now time.Time, name string) {
-	a.advance(now)
-	r := a.route(name)
-	r.running--
-	r.ended++
+func (a *Attributor) Ended(now time.Time, route string) {
+	a.span(now).ended[route]++
+	a.running[route]--
+	if a.running[route] <= 0 {
+		delete(a.running, route)
+	}
 }
 
 // Called notes a call of the target to a route. It says whether any request runs that may have made it.
 func (a *Attributor) Called(now time.Time, callee string) bool {
-	a.advance(now)
-	total := 0.0
-	for _, r := range a.routes {
-		total += r.intensity(callee)
-	}
-	if total == 0 {
+	o := a.span(now)
+	if len(a.running) == 0 {
 		return false
 	}
-	for _, r := range a.routes {
-		if share := r.intensity(callee) / total; share > 0 {
-			r.calls[callee] += share
-		}
-	}
+	o.calls[callee]++
 	return true
 }
 
-// intensity is the rate of calls that the running requests of the route are expected to make.
-func (r *route) intensity(callee string) float64 {
-	if r.running <= 0 {
-		return 0
+// Rows returns what is known of each route.
+func (a *Attributor) Rows(now time.Time) []Row {
+	a.span(now)
+	if !a.learnt.IsZero() && now.Sub(a.learnt) < refreshAfter {
+		return a.rows
+	}
+	a.learnt = now
+	seconds, ended, callees := a.totals()
+	for callee := range callees {
+		a.fit(callee, seconds)
 	}
-	rate := (r.calls[callee] + prior*priorSeconds) / (r.seconds + priorSeconds)
-	return float64(r.running) * rate
+	a.rows = a.rows[:0:0]
+	for route, n := range ended {
+		if n >= leastEnded {
+			a.rows = append(a.rows, a.row(route, seconds[route]/n, callees))
+		}
+	}
+	return a.rows
 }
 
-const (
-	// leastEnded is the number of ended requests from which a row is told.
-	leastEnded = 3.0
-	// leastCalls is the number of calls a request below which they are taken for errors of the sharing.
-	leastCalls = 0.1
-)
+func (a *Attributor) totals() (seconds, ended map[string]float64, callees map[string]bool) {
+	seconds, ended, callees = map[string]float64{}, map[string]float64{}, map[string]bool{}
+	for i := range a.ring {
+		o := &a.ring[i]
+		for route, s := range o.seconds {
+			seconds[route] += s
+		}
+		for route, n := range o.ended {
+			ended[route] += n
+		}
+		for callee := range o.calls {
+			callees[callee] = true
+		}
+	}
+	return seconds, ended, callees
+}
 
-// Rows returns what is known of each route.
-func (a *Attributor) Rows(now time.Time) []Row {
-	a.advance(now)
-	var rows []Row
-	for name, r := range a.routes {
-		if r.ended < leastEnded {
-			continue
+// fit improves the rates at which each route calls the callee.
+func (a *Attributor) fit(callee string, seconds map[string]float64) {
+	for range rounds {
+		shared := map[string]float64{}
+		for i := range a.ring {
+			a.divide(&a.ring[i], callee, shared)
 		}
-		row := Row{Route: name, Hold: time.Duration(r.seconds / r.ended * float64(time.Second)), Calls: map[string]float64{}}
-		for k, n := range r.calls {
-			if per := n / r.ended; per >= leastCalls {
-				row.Calls[k] = per
+		for route, s := range seconds {
+			if s > 0 {
+				a.rates[pair{route, callee}] = shared[route] / s
 			}
 		}
-		rows = append(rows, row)
 	}
-	return rows
+}
+
+// divide shares the calls of one span among the routes that ran in it, by their rates so far.
+func (a *Attributor) divide(o *observation, callee string, shared map[string]float64) {
+	calls := o.calls[callee]
+	if calls == 0 {
+		return
+	}
+	total := 0.0
+	for route, s := range o.seconds {
+		total += s * a.rate(route, callee)
+	}
+	if total <= 0 {
+		return
+	}
+	for route, s := range o.seconds {
+		shared[route] += calls * s * a.rate(route, callee) / total
+	}
+}
+
+func (a *Attributor) rate(route, callee string) float64 {
+	if r, ok := a.rates[pair{route, callee}]; ok {
+		// Never quite 0, so that a changed pattern can be learnt.
+		return max(r, 0.001)
+	}
+	return firstGuess
+}
+
+func (a *Attributor) row(route string, hold float64, callees map[string]bool) Row {
+	row := Row{Route: route, Hold: time.Duration(hold * float64(time.Second)), Calls: map[string]float64{}}
+	for callee := range callees {
+		if n := a.rate(route, callee) * hold; n >= leastCalls {
+			row.Calls[callee] = n
+		}
+	}
+	return row
 }
--- /dev/null
+++ b/internal/policy/queuer/queuer_test.go
@@ -0,0 +1,82 @@
+package queuer_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/plantainwheel/plantainwheel/internal/policy/queuer"
+	"gotest.tools/v3/assert"
+)
+
+var t0 = time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
+
+func entry(rank int, wait time.Duration) *queuer.Entry {
+	return &queuer.Entry{Rank: rank, LatestStart: t0.Add(wait)}
+}
+
+// TestCallsGoFirst checks that the calls of running requests start before new requests of any rank, and
+// those in the order of their arrival.
+func TestCallsGoFirst(t *testing.T) {
+	q := queuer.Queue{Limit: 2}
+	for range 2 {
+		started, _ := q.Offer(entry(0, time.Second))
+		assert.Assert(t, started)
+	}
+	low, high, first, second := entry(34, time.Second), entry(0, time.Second), entry(queuer.CallRank, time.Second), entry(queuer.CallRank, time.Second)
+	for _, e := range []*queuer.Entry{low, high, first, second} {
+		started, refused := q.Offer(e)
+		assert.Assert(t, !started && refused == nil)
+	}
+	for _, want := range []*queuer.Entry{first, second, high, low} {
+		q.Done()
+		got, late := q.Next(t0)
+		assert.Equal(t, len(late), 0)
+		assert.Assert(t, len(got) == 1 && got[0] == want)
+	}
+}
+
+// TestNeverAboveLimit checks that a target never gets more requests than its limit, also when that shrinks.
+func TestNeverAboveLimit(t *testing.T) {
+	q := queuer.Queue{Limit: 3}
+	for range 8 {
+		q.Offer(entry(0, time.Second))
+	}
+	assert.Equal(t, q.Running(), 3)
+	q.Limit = 1
+	q.Done()
+	started, _ := q.Next(t0)
+	assert.Equal(t, len(started), 0)
+	assert.Equal(t, q.Running(), 2)
+}
+
+// TestFullQueueGivesWay checks that a full queue refuses the least important entry, be it the offered one.
+func TestFullQueueGivesWay(t *testing.T) {
+	q := queuer.Queue{Limit: 1}
+	q.Offer(entry(0, time.Second))
+	low := entry(40, time.Second)
+	for _, e := range []*queuer.Entry{entry(16, time.Second), entry(16, time.Second), low} {
+		_, refused := q.Offer(e)
+		assert.Assert(t, refused == nil)
+	}
+	_, refused := q.Offer(entry(16, time.Second))
+	assert.Assert(t, refused == low)
+	same := entry(16, time.Second)
+	_, refused = q.Offer(same)
+	assert.Assert(t, refused == same)
+}
+
+// TestLateEntriesAreRefused checks that what has waited too long neither starts nor stays.
+func TestLateEntriesAreRefused(t *testing.T) {
+	q := queuer.Queue{Limit: 1}
+	q.Offer(entry(0, time.Second))
+	late, left := entry(0, 10*time.Millisecond), entry(0, time.Second)
+	q.Offer(late)
+	q.Offer(left)
+	assert.Assert(t, q.Remove(left))
+	assert.Assert(t, !q.Remove(left))
+	q.Done()
+	started, refused := q.Next(t0.Add(20 * time.Millisecond))
+	assert.Equal(t, len(started), 0)
+	assert.Assert(t, len(refused) == 1 && refused[0] == late)
+	assert.Equal(t, q.Waiting(), 0)
+}
--- /dev/null
+++ b/internal/policy/regulator/regulator_test.go
@@ -0,0 +1,55 @@
+package regulator_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/plantainwheel/plantainwheel/internal/policy/regulator"
+	"gotest.tools/v3/assert"
+)
+
+func TestShare(t *testing.T) {
+	for _, c := range []struct {
+		name         string
+		slots        int
+		trim, demand float64
+		least, most  float64
+	}{
+		{"nothing asked", 72, 1, 0, 1, 1},
+		{"all fits", 72, 1, 40, 1, 1},
+		{"twice what fits", 72, 1, 2 * 72 * regulator.Setpoint, 0.5, 0.5},
+		{"no target left", 0, 1, 10, regulator.LeastShare, regulator.LeastShare},
+		{"trimmed", 72, 0.5, 72 * regulator.Setpoint, 0.5, 0.5},
+	} {
+		share := regulator.Share(c.slots, c.trim, c.demand)
+		assert.Assert(t, share >= c.least-1e-9 && share <= c.most+1e-9, "%s: %.3f", c.name, share)
+	}
+}
+
+// TestTrimSettles replays a service whose requests cost twice what was worked out: the load must come down
+// to what is aimed at within 5 s and stay there, although requests arrive 400 ms after they were let in.
+func TestTrimSettles(t *testing.T) {
+	const worked, real = 100.0, 200.0
+	const slots = 72
+	var trim regulator.Trim
+	now := time.Unix(1_800_000_000, 0)
+	delayed := []float64{1, 1, 1, 1}
+	for i := range 200 {
+		now = now.Add(regulator.Period)
+		delayed = append(delayed[1:], regulator.Share(slots, trim.Value(), worked))
+		load := delayed[0] * real / slots
+		trim.Tick(now, load)
+		if i > 50 {
+			assert.Assert(t, load > 0.7 && load < 1.0, "step %d: load %.2f", i, load)
+		}
+	}
+}
+
+func TestMeter(t *testing.T) {
+	var m regulator.Meter
+	now := time.Unix(1_800_000_000, 0)
+	m.Observe(now, 10, 0, 20)
+	m.Observe(now.Add(50*time.Millisecond), 20, 10, 20)
+	mean := m.Mean(now.Add(100 * time.Millisecond))
+	assert.Assert(t, mean > 0.99 && mean < 1.01, "half of 0.5 and half of 1.5: %.3f", mean)
+}
--- a/internal/policy/tallier/tallier.go
+++ b/internal/policy/tallier/tallier.go
@@ -15,14 +15,21 @@
 	// what other nodes let in before they hear: up to a fifth of the window's limit in a report period at
 	// seven times the rate.
 	freeShare = 0.65
+	// freeExtra is added to it, in requests: it matters for small accounts, where little goes unheard.
+	freeExtra = 6
 	// demandSpan is the time over which the demand is averaged.
 	demandSpan = time.Second
 	// bucketSpan is how much of its share a node saves up, and leastBucket the least, in requests: an account
 	// with few requests at many nodes would lose most of its rate to empty moments.
 	bucketSpan  = 800 * time.Millisecond
 	leastBucket = 2
-	// slices is the number of parts in which a window is counted.
+	// slices is the number of parts in which a window is counted. One more is kept, so that nothing leaves the
+	// count before it has left the window.
 	slices = 20
+	kept   = slices + 1
+	// unheardPart is the part of the latest one and a half slices that reports have not told yet: they are
+	// a fifth of a second old at the most.
+	unheardPart = 0.5
 	// newsAfter is when a node that has started has heard from the others.
 	newsAfter = 1500 * time.Millisecond
 	// leastDemand keeps a share for a node that has not been asked yet, in requests a second.
@@ -60,7 +67,7 @@
 }
 
 type account struct {
-	counts  [slices]float64
+	counts  [kept]float64
 	slice   int64
 	offered float64
 	demand  float64
@@ -94,10 +101,10 @@
 func (a *account) turn(now, window time.Duration) {
 	current := int64(now / (window / slices))
 	for ; a.slice < current; a.slice++ {
-		if current-a.slice > slices {
-			a.slice = current - slices
+		if current-a.slice > kept {
+			a.slice = current - kept
 		}
-		a.counts[(a.slice+1)%slices] = 0
+		a.counts[(a.slice+1)%kept] = 0
 	}
 	span := now - a.since
 	if span < demandSpan/4 {
@@ -138,8 +145,8 @@
 	used, unheard, demand := a.fleet(now, t.Window, most/t.Window.Seconds())
 	settled := now-t.Started >= t.Window
 	a.near = used > freeShare/2*most
-	if settled && used+unheard+1 <= freeShare*most {
-		a.counts[a.slice%slices]++
+	if settled && used+unheard+1 <= freeShare*most+freeExtra {
+		a.counts[a.slice%kept]++
 		return true, 0
 	}
 	rate := most / t.Window.Seconds()
@@ -147,10 +154,11 @@
 		// What was let in before the start may still be within the window, so there is no burst.
 		rate = limit.Rate
 	}
-	rate *= t.share(now, a, demand)
+	share := t.share(now, a, demand)
+	rate *= share
 	a.fill(now, rate)
-	if a.tokens >= 1 && used+1 <= most {
-		a.counts[a.slice%slices]++
+	if a.tokens >= 1 && used+a.alike(share)+1 <= most {
+		a.counts[a.slice%kept]++
 		a.tokens--
 		return true, 0
 	}
@@ -177,6 +185,15 @@
 	return used, unheard, demand
 }
 
+// alike returns what the other nodes may have let in unheard, if they did as this one did of late.
+func (a *account) alike(share float64) float64 {
+	if share <= 0 || share >= 1 {
+		return 0
+	}
+	latest := a.counts[a.slice%kept] + a.counts[(a.slice+kept-1)%kept]/2
+	return latest * (1 - share) / share * unheardPart
+}
+
 // share is the node's part of the demand. Until the others can have told theirs it is an equal part, and
 // nothing before the number of nodes is known.
 func (t *Tallier) share(now time.Duration, a *account, demand float64) float64 {
--- /dev/null
+++ b/internal/standin/storekeeper/storekeeper.go
@@ -0,0 +1,209 @@
+// Package storekeeper stands in for the users' store of keyed topics, with faults that tests switch.
+package storekeeper
+
+import (
+	"encoding/binary"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// Store keeps keyed topics of one partition. It is safe for concurrent use.
+type Store struct {
+	mu     sync.Mutex
+	topics map[string]*topic
+	faults Faults
+	reads  int
+}
+
+// Faults are switched while the store runs.
+type Faults struct {
+	// Refuse answers 503 to everything.
+	Refuse bool
+	// Silent answers nothing at all.
+	Silent bool
+	// LoseAnswers is the number of appends that take effect and are not answered.
+	LoseAnswers int
+	// LateWrites is the time after which unanswered appends take effect.
+	LateWrites time.Duration
+}
+
+type topic struct {
+	first   int64
+	records []record
+	newest  map[string]record
+	grown   chan struct{}
+}
+
+type record struct {
+	offset int64
+	key    string
+	value  []byte
+}
+
+// SetFaults replaces the faults.
+func (s *Store) SetFaults(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+}
+
+// Reads returns the number of reads that were asked for.
+func (s *Store) Reads() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reads
+}
+
+// Put appends a record as another writer would.
+func (s *Store) Put(name, key string, value []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.put(name, key, value)
+}
+
+func (s *Store) put(name, key string, value []byte) {
+	t := s.topic(name)
+	r := record{offset: t.first + int64(len(t.records)), key: key, value: value}
+	t.records = append(t.records, r)
+	t.newest[key] = r
+	if len(value) == 0 {
+		delete(t.newest, key)
+	}
+	close(t.grown)
+	t.grown = make(chan struct{})
+}
+
+// Newest returns the value of a key.
+func (s *Store) Newest(name, key string) []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.topic(name).newest[key].value
+}
+
+// Compact drops all records but the newest of each key.
+func (s *Store) Compact(name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.topic(name)
+	t.first += int64(len(t.records))
+	t.records = nil
+	close(t.grown)
+	t.grown = make(chan struct{})
+}
+
+func (s *Store) topic(name string) *topic {
+	if s.topics == nil {
+		s.topics = map[string]*topic{}
+	}
+	t := s.topics[name]
+	if t == nil {
+		t = &topic{newest: map[string]record{}, grown: make(chan struct{})}
+		s.topics[name] = t
+	}
+	return t
+}
+
+// ServeHTTP speaks the store's calls.
+func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	f := s.faults
+	s.mu.Unlock()
+	switch {
+	case f.Silent:
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	case f.Refuse:
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	name := r.URL.Query().Get("topic")
+	switch r.URL.Path {
+	case "/-/log-append":
+		s.append(w, r, name)
+	case "/-/log-read":
+		s.read(w, r, name)
+	case "/-/log-newest":
+		s.writeNewest(w, name)
+	default:
+		w.WriteHeader(http.StatusNotFound)
+	}
+}
+
+func (s *Store) append(w http.ResponseWriter, r *http.Request, name string) {
+	raw, err := io.ReadAll(r.Body)
+	if err != nil || len(raw) < 5 {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	n := int(raw[4])
+	key, value := string(raw[5:5+n]), raw[5+n:]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.faults.LoseAnswers > 0 {
+		s.faults.LoseAnswers--
+		time.AfterFunc(s.faults.LateWrites, func() { s.Put(name, key, value) })
+		panic(http.ErrAbortHandler)
+	}
+	s.put(name, key, value)
+	_, _ = w.Write([]byte(`{"offset":0,"end":1}`))
+}
+
+func (s *Store) read(w http.ResponseWriter, r *http.Request, name string) {
+	from, _ := strconv.ParseInt(r.URL.Query().Get("from"), 10, 64)
+	wait, _ := strconv.Atoi(r.URL.Query().Get("wait_ms"))
+	deadline := time.After(time.Duration(wait) * time.Millisecond)
+	s.mu.Lock()
+	s.reads++
+	for {
+		t := s.topic(name)
+		if from < t.first {
+			s.mu.Unlock()
+			w.WriteHeader(http.StatusGone)
+			return
+		}
+		if from < t.first+int64(len(t.records)) {
+			break
+		}
+		grown := t.grown
+		s.mu.Unlock()
+		select {
+		case <-grown:
+			s.mu.Lock()
+			continue
+		case <-r.Context().Done():
+			panic(http.ErrAbortHandler)
+		case <-deadline:
+		}
+		s.mu.Lock()
+		break
+	}
+	t := s.topic(name)
+	raw := binary.BigEndian.AppendUint64(nil, uint64(t.first)+uint64(len(t.records)))
+	raw = binary.BigEndian.AppendUint64(raw, uint64(t.first))
+	for _, rec := range t.records[min(max(from-t.first, 0), int64(len(t.records))):] {
+		raw = binary.BigEndian.AppendUint32(raw, uint32(1+len(rec.key)+len(rec.value)))
+		raw = append(append(append(raw, byte(len(rec.key))), rec.key...), rec.value...)
+	}
+	s.mu.Unlock()
+	_, _ = w.Write(raw)
+}
+
+func (s *Store) writeNewest(w http.ResponseWriter, name string) {
+	type item struct {
+		Key    string `json:"key"`
+		Value  []byte `json:"value"`
+		Offset int64  `json:"offset"`
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.topic(name)
+	items := []item{}
+	for _, r := range t.newest {
+		items = append(items, item{r.key, r.value, r.offset})
+	}
+	_ = json.NewEncoder(w).Encode(map[string]any{"items": items, "more": false, "end": t.first + int64(len(t.records))})
+}
--- a/internal/target/executor/executor.go
+++ b/internal/target/executor/executor.go
@@ -281,8 +281,9 @@
 		resp, _, err = e.Pool.Send(ctx, target.Address, &job.Request, 0)
 	}
 	if err != nil {
+		ended := ctx.Err() != nil
 		cancel()
-		return e.failed(ctx, err)
+		return e.failed(err, ended)
 	}
 	return read(resp, job, cancel)
 }
@@ -314,14 +315,16 @@
 	return job.Idempotent && e.repeats.Retry()
 }
 
-func (e *Executor) failed(ctx context.Context, err error) *courier.Answer {
+// failed tells what became of a request without an answer; ended says that its time was over or its caller had
+// left.
+func (e *Executor) failed(err error, ended bool) *courier.Answer {
 	if errors.Is(err, courier.ErrNotSent) {
-		if ctx.Err() == nil {
+		if !ended {
 			e.down()
 		}
 		return courier.Refuse(ReasonUnreachable)
 	}
-	if ctx.Err() != nil {
+	if ended {
 		return courier.Lose(ReasonNoReply)
 	}
 	return courier.Lose(ReasonBroken)
--- /dev/null
+++ b/internal/target/executor/executor_test.go
@@ -0,0 +1,252 @@
+package executor_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log"
+	"net/http"
+	"os"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/plantainwheel/plantainwheel/internal/route/courier"
+	"github.com/plantainwheel/plantainwheel/internal/standin/responder"
+	"github.com/plantainwheel/plantainwheel/internal/target/executor"
+	"github.com/plantainwheel/plantainwheel/platform"
+	"gotest.tools/v3/assert"
+)
+
+func TestMain(m *testing.M) {
+	// net/http writes a line for each answer that nobody asked for.
+	log.SetOutput(io.Discard)
+	os.Exit(m.Run())
+}
+
+type fixture struct {
+	t        *testing.T
+	target   *responder.Responder
+	executor *executor.Executor
+	said     platform.Announcement
+}
+
+func newFixture(t *testing.T, slots int, work time.Duration) *fixture {
+	t.Helper()
+	target := &responder.Responder{Work: work}
+	address, err := target.Open()
+	assert.NilError(t, err)
+	t.Cleanup(target.Close)
+	f := &fixture{t: t, target: target, executor: executor.New(&courier.Pool{KeepFor: time.Minute})}
+	t.Cleanup(f.executor.Pool.Close)
+	f.said = platform.Announcement{ID: "i-1", Service: "print", Address: address, Slots: slots, Sequence: 1, Born: 1000}
+	f.executor.Announce(f.said)
+	return f
+}
+
+func (f *fixture) job(id string, idempotent bool) *executor.Job {
+	return &executor.Job{
+		Request: courier.Request{
+			Method: http.MethodDelete, URI: "/a//b/../c?x=%2f", Host: "h.example",
+			Header: http.Header{platform.RequestIDHeader: {id}}, Body: courier.Body{Whole: []byte("body")},
+		},
+		Route: "r", Expect: "i-1", Idempotent: idempotent,
+		Deadline: time.Now().Add(500 * time.Millisecond), MaxWait: 200 * time.Millisecond,
+	}
+}
+
+func (f *fixture) do(id string, idempotent bool) *courier.Answer {
+	a := f.executor.Do(context.Background(), f.job(id, idempotent))
+	a.Release()
+	return a
+}
+
+// TestAnswers has a target answer wrongly in each known way. What is passed on as the target's answer must be
+// its whole answer; what may have run is never called not run; and nothing that may run only once is sent
+// twice, although its method is one that HTTP libraries send again by themselves.
+func TestAnswers(t *testing.T) {
+	for _, c := range []struct {
+		fault   responder.Fault
+		outcome string
+	}{
+		{responder.None, "answered 200"},
+		{responder.Extra, "answered 200"},
+		{responder.Unframed, "answered 200"},
+		{responder.CloseIdle, "answered 200"},
+		{responder.Unavailable, "answered 503"},
+		{responder.Shed, "not run: target-shed"},
+		{responder.Reset, "unknown: connection-broke"},
+		{responder.Truncate, "unknown: answer-garbled"},
+		{responder.Noise, "unknown: connection-broke"},
+		{responder.OtherID, "unknown: answer-garbled"},
+		{responder.Unsigned, "unknown: answer-garbled"},
+		{responder.UnframedCut, "unknown: answer-garbled"},
+		{responder.Hang, "unknown: no-answer-in-time"},
+	} {
+		t.Run(string("fault "+c.fault), func(t *testing.T) {
+			f := newFixture(t, 4, 0)
+			assert.Equal(t, outcome(f.do("first", false)), "answered 200")
+			f.target.Break(c.fault)
+			assert.Equal(t, outcome(f.do("second", false)), c.outcome)
+			runs := 0
+			for _, s := range f.target.Seen() {
+				if s.Header.Get(platform.RequestIDHeader) == "second" {
+					runs++
+					assert.Equal(t, s.URI, "/a//b/../c?x=%2f")
+					assert.Equal(t, s.Method, http.MethodDelete)
+					assert.Equal(t, s.Body, "body")
+					assert.Equal(t, s.Header.Get(platform.ExpectHeader), "i-1")
+					assert.Equal(t, s.Header.Get("User-Agent"), "")
+					assert.Equal(t, s.Header.Get("Accept-Encoding"), "")
+				}
+			}
+			assert.Assert(t, runs <= 1, "ran %d times", runs)
+		})
+	}
+}
+
+func outcome(a *courier.Answer) string {
+	switch {
+	case a.NotRun:
+		return "not run: " + a.Reason
+	case a.Unknown:
+		return "unknown: " + a.Reason
+	default:
+		return fmt.Sprintf("answered %d", a.Status)
+	}
+}
+
+// TestExtraAnswerIsNobodys checks that a second answer to one request never becomes the answer to the next.
+func TestExtraAnswerIsNobodys(t *testing.T) {
+	f := newFixture(t, 1, 0)
+	f.target.Break(responder.Extra)
+	for i := range 20 {
+		a := f.do(fmt.Sprint(i), true)
+		if !a.NotRun && !a.Unknown {
+			assert.Equal(t, a.Header.Get(platform.RequestIDHeader), fmt.Sprint(i))
+			assert.Equal(t, string(a.Body.Whole), "ok")
+		}
+	}
+}
+
+// TestClosedKeptConnections checks that a request that may run only once is not lost to a connection that
+// the target has closed meanwhile.
+func TestClosedKeptConnections(t *testing.T) {
+	f := newFixture(t, 4, 0)
+	f.target.Break(responder.CloseIdle)
+	for i := range 10 {
+		assert.Equal(t, outcome(f.do(fmt.Sprint(i), false)), "answered 200")
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// TestNeverOverfilled checks that a target gets at most its slots at once, however many ask.
+func TestNeverOverfilled(t *testing.T) {
+	f := newFixture(t, 3, 10*time.Millisecond)
+	var wg sync.WaitGroup
+	for i := range 40 {
+		wg.Go(func() { f.do(fmt.Sprint(i), true) })
+	}
+	wg.Wait()
+	assert.Assert(t, f.target.Peak() <= 3, "peak %d", f.target.Peak())
+	load := f.executor.Load()
+	assert.Equal(t, load.Running, 0)
+	assert.Equal(t, load.Waiting, 0)
+}
+
+// TestLeaving checks what a target that leaves still gets: nothing, by whichever way it says so.
+func TestLeaving(t *testing.T) {
+	for name, c := range map[string]struct {
+		leave func(*fixture)
+		want  string
+	}{
+		"draining": {func(f *fixture) { f.announce(2, true) }, "not run: draining"},
+		"departed": {func(f *fixture) { f.executor.Depart("i-1") }, "not run: no-target"},
+		"late announcement from before": {func(f *fixture) {
+			f.announce(5, true)
+			f.announce(3, false)
+		}, "not run: draining"},
+		"ready again in the same incarnation": {func(f *fixture) {
+			f.announce(2, true)
+			f.announce(3, false)
+		}, "not run: draining"},
+		"announcement after it has departed": {func(f *fixture) {
+			f.executor.Depart("i-1")
+			f.announce(9, false)
+		}, "not run: no-target"},
+		"another incarnation": {func(f *fixture) {
+			f.said.ID = "i-2"
+			f.said.Born++
+			f.announce(1, false)
+		}, "not run: other-incarnation"},
+		"node that stops": {func(f *fixture) { f.executor.Stop() }, "not run: draining"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, 2, 0)
+			c.leave(f)
+			assert.Equal(t, outcome(f.do("x", true)), c.want)
+			assert.Equal(t, len(f.target.Seen()), 0)
+		})
+	}
+}
+
+func (f *fixture) announce(sequence int64, draining bool) {
+	f.said.Sequence = sequence
+	f.said.Draining = draining
+	f.executor.Announce(f.said)
+}
+
+// TestWaitingJobsMoveOn checks that what waits for a target that leaves is refused at once as not run.
+func TestWaitingJobsMoveOn(t *testing.T) {
+	f := newFixture(t, 1, 150*time.Millisecond)
+	var wg sync.WaitGroup
+	wg.Go(func() { f.do("running", true) })
+	time.Sleep(30 * time.Millisecond)
+	began := time.Now()
+	wg.Go(func() {
+		a := f.do("waiting", true)
+		assert.Check(t, a.NotRun)
+		assert.Check(t, time.Since(began) < 100*time.Millisecond)
+	})
+	time.Sleep(20 * time.Millisecond)
+	f.announce(2, true)
+	wg.Wait()
+	assert.Equal(t, len(f.target.Seen()), 1)
+}
+
+// TestRecall checks that a new process of the node keeps what an earlier one has promised, against an
+// announcement from before the promise.
+func TestRecall(t *testing.T) {
+	pool := &courier.Pool{KeepFor: time.Minute}
+	defer pool.Close()
+	e := executor.New(pool)
+	e.Recall(executor.Target{ID: "i-1", Born: 1000, Draining: true})
+	said := platform.Announcement{ID: "i-1", Born: 1000, Sequence: 7, Slots: 2, Address: "127.0.0.1:1"}
+	e.Announce(said)
+	assert.Assert(t, !e.Load().Up)
+	said.ID = "i-2"
+	said.Born = 2000
+	e.Announce(said)
+	assert.Assert(t, e.Load().Up)
+}
+
+// TestCallerLeaves checks that the target is let go at once when the caller has left.
+func TestCallerLeaves(t *testing.T) {
+	f := newFixture(t, 1, 0)
+	f.target.Break(responder.Hang)
+	ctx, cancel := context.WithCancel(context.Background())
+	time.AfterFunc(30*time.Millisecond, cancel)
+	began := time.Now()
+	a := f.executor.Do(ctx, f.job("x", true))
+	assert.Assert(t, a.Unknown)
+	assert.Assert(t, time.Since(began) < 250*time.Millisecond)
+	assert.Equal(t, f.executor.Load().Running, 0)
+}
+
+// TestTargetIsDown checks that a target that does not listen costs nothing: its requests have not run.
+func TestTargetIsDown(t *testing.T) {
+	f := newFixture(t, 2, 0)
+	f.target.Close()
+	assert.Equal(t, outcome(f.do("x", false)), "not run: target-unreachable")
+	assert.Assert(t, !f.executor.Load().Up)
+}
