Relay reports once per data centre, pack the headers of a hop, collect garbage earlier

Change: one node of each other data centre passes a report on; four headers go into the hop's own; GC at 50%.

--- a/internal/fleet/tracker/tracker.go
+++ b/internal/fleet/tracker/tracker.go
@@ -362,6 +362,19 @@
 	return list
 }
 
+// Heardable returns those of the members that were heard from lately.
+func (t *Tracker) Heardable(now time.Time, members []Member) []Member {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var heard []Member
+	for _, m := range members {
+		if p, ok := t.peers[m.Node]; ok && !t.silent(now, p) && now.After(p.avoidUntil) {
+			heard = append(heard, m)
+		}
+	}
+	return heard
+}
+
 // Live returns the number of members that were heard from lately, the own node included.
 func (t *Tracker) Live(now time.Time) int {
 	t.mu.Lock()
--- a/internal/node/attendant/attendant.go
+++ b/internal/node/attendant/attendant.go
@@ -54,6 +54,8 @@
 	// memoryShare is the part of the VM's memory beyond which garbage is collected at any price.
 	memoryShare = 0.6
 	storeIdle   = 2
+	// garbagePercent makes up for memory that is paid for with processor time that is cheap.
+	garbagePercent = 50
 )
 
 // Attendant is one node. Its fields are set before Start.
@@ -113,6 +115,7 @@
 		Listen: cfg.IP + ":" + strconv.Itoa(cfg.ReportPort), Tracker: a.tracker, Make: a.report, Take: a.takeReport,
 	}
 	a.servers = a.newServers()
+	debug.SetGCPercent(garbagePercent)
 	if cfg.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(cfg.MemoryMB) * (1 << 20)))
 	}
--- a/internal/peer/forwarder/forwarder.go
+++ b/internal/peer/forwarder/forwarder.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"net/url"
 	"strconv"
 	"strings"
 	"time"
@@ -55,10 +56,7 @@
 
 // Do sends the job to the node at the address.
 func (f *Forwarder) Do(ctx context.Context, node, address string, job *executor.Job) *courier.Answer {
-	left := time.Until(job.Deadline)
-	job.Request.Header.Set(hopHeader, encodeJob(job))
-	job.Request.Header.Set(platform.ExpectHeader, job.Expect)
-	job.Request.Header.Set(platform.DeadlineHeader, strconv.FormatInt(left.Milliseconds(), 10))
+	pack(job)
 	ctx, cancel := context.WithDeadline(ctx, job.Deadline.Add(answerGrace))
 	resp, _, err := f.Pool.Send(ctx, address, &job.Request, rested)
 	if errors.Is(err, courier.ErrNotSent) && ctx.Err() == nil && job.Request.Body.Repeatable() {
@@ -121,29 +119,69 @@
 	return &courier.Answer{Status: resp.StatusCode, Header: resp.Header, Body: body, Close: release}
 }
 
-func encodeJob(job *executor.Job) string {
+// packed are the headers whose values go into hopHeader: their names are longer than their values.
+var packed = []string{
+	platform.RequestIDHeader, platform.AccountHeader, platform.CallerHeader, platform.ExpectHeader,
+}
+
+// none stands for a missing value in hopHeader.
+const none = "-"
+
+// pack puts what the nodes tell each other, and the headers that a node sets, into hopHeader.
+func pack(job *executor.Job) {
 	kind := "o"
 	if job.Idempotent {
 		kind = "i"
 	}
-	return fmt.Sprintf("%s %d %d %s", kind, job.Rank, job.MaxWait.Milliseconds(), job.Route)
+	left := time.Until(job.Deadline).Milliseconds()
+	h := job.Request.Header
+	h.Set(platform.ExpectHeader, job.Expect)
+	h.Del(platform.DeadlineHeader)
+	text := fmt.Sprintf("%s %d %d %d %s", kind, job.Rank, job.MaxWait.Milliseconds(), left, url.QueryEscape(job.Route))
+	for _, name := range packed {
+		value := h.Get(name)
+		if value == "" || strings.ContainsAny(value, " ") {
+			// Goes as it is.
+			value = none
+		} else {
+			h.Del(name)
+		}
+		text += " " + value
+	}
+	h.Set(hopHeader, text)
 }
 
-func decodeJob(text string) (executor.Job, error) {
-	fields := strings.SplitN(text, " ", 4)
-	if len(fields) != 4 {
+// unpack reads hopHeader and restores the headers that were packed into it.
+func unpack(h http.Header) (executor.Job, error) {
+	fields := strings.Split(h.Get(hopHeader), " ")
+	h.Del(hopHeader)
+	if len(fields) != 5+len(packed) {
 		return executor.Job{}, errHop
 	}
-	rank, err1 := strconv.Atoi(fields[1])
-	wait, err2 := strconv.Atoi(fields[2])
-	if err := errors.Join(err1, err2); err != nil {
+	route, err := url.QueryUnescape(fields[4])
+	if err != nil {
 		return executor.Job{}, fmt.Errorf("%w: %w", errHop, err)
 	}
+	var numbers [3]int
+	for i := range numbers {
+		n, err := strconv.Atoi(fields[1+i])
+		if err != nil {
+			return executor.Job{}, fmt.Errorf("%w: %w", errHop, err)
+		}
+		numbers[i] = n
+	}
+	for i, name := range packed {
+		if value := fields[5+i]; value != none {
+			h.Set(name, value)
+		}
+	}
 	return executor.Job{
 		Idempotent: fields[0] == "i",
-		Rank:       rank,
-		MaxWait:    time.Duration(wait) * time.Millisecond,
-		Route:      fields[3],
+		Rank:       numbers[0],
+		MaxWait:    time.Duration(numbers[1]) * time.Millisecond,
+		Deadline:   time.Now().Add(time.Duration(numbers[2]) * time.Millisecond),
+		Route:      route,
+		Expect:     h.Get(platform.ExpectHeader),
 	}, nil
 }
 
--- a/internal/peer/forwarder/server.go
+++ b/internal/peer/forwarder/server.go
@@ -4,11 +4,9 @@
 	"io"
 	"net/http"
 	"strconv"
-	"time"
 
 	"github.com/plantainwheel/plantainwheel/internal/route/courier"
 	"github.com/plantainwheel/plantainwheel/internal/target/executor"
-	"github.com/plantainwheel/plantainwheel/platform"
 )
 
 // Server takes requests from other nodes for the target beside this one.
@@ -18,19 +16,11 @@
 
 // ServeHTTP runs a request of another node. A request without the nodes' own header did not come from one.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	job, err := decodeJob(r.Header.Get(hopHeader))
+	job, err := unpack(r.Header)
 	if err != nil {
 		w.WriteHeader(http.StatusForbidden)
 		return
 	}
-	left, err := strconv.Atoi(r.Header.Get(platform.DeadlineHeader))
-	if err != nil {
-		w.WriteHeader(http.StatusBadRequest)
-		return
-	}
-	job.Deadline = time.Now().Add(time.Duration(left) * time.Millisecond)
-	job.Expect = r.Header.Get(platform.ExpectHeader)
-	r.Header.Del(hopHeader)
 	body, err := courier.ReadBody(r.Body, r.ContentLength)
 	if err != nil {
 		// The sender has gone before its body was here.
--- a/internal/peer/reporter/reporter.go
+++ b/internal/peer/reporter/reporter.go
@@ -1,11 +1,17 @@
 // Package reporter sends a node's load, costs and tallies to the others in datagrams and takes theirs.
+//
+// A report goes to each node of the own data centre, and to one node of each other one, which passes it on to
+// its neighbours: bytes between data centres are paid for. That node is another one each time, so that one
+// that is down costs a part of the reports and not all.
 package reporter
 
 import (
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -25,6 +31,13 @@
 	bytesPerSecond = 30_000
 )
 
+// Kinds of datagrams, in their first byte.
+const (
+	kindDirect = 0
+	// kindRelay asks the receiver to pass the report on to its neighbours.
+	kindRelay = 1
+)
+
 // Reporter exchanges reports. Close waits until it has ended.
 type Reporter struct {
 	// Listen is the UDP address, "IP:port".
@@ -35,11 +48,13 @@
 	// Take is told each report of another node that is not older than the last.
 	Take func(*tracker.Report)
 
-	conn     *net.UDPConn
-	handle   codec.MsgpackHandle
-	started  int64
+	conn    *net.UDPConn
+	handle  codec.MsgpackHandle
+	started int64
+	done    sync.WaitGroup
+
+	mu       sync.Mutex
 	sequence uint64
-	done     sync.WaitGroup
 }
 
 // Open starts to listen.
@@ -87,7 +102,7 @@
 	if urgent {
 		period = UrgentPeriod
 	}
-	cost := time.Duration(size*len(r.Tracker.Others())) * time.Second / bytesPerSecond
+	cost := time.Duration(size*len(r.receivers())) * time.Second / bytesPerSecond
 	return max(period, cost)
 }
 
@@ -97,43 +112,93 @@
 	r.send(&report)
 }
 
+// receiver is a node that a report is sent to.
+type receiver struct {
+	tracker.Member
+	kind byte
+}
+
+// receivers returns the nodes of the own data centre and one of each other.
+func (r *Reporter) receivers() []receiver {
+	var list []receiver
+	others := map[string][]tracker.Member{}
+	for _, m := range r.Tracker.Others() {
+		if m.DataCentre == r.Tracker.DataCentre {
+			list = append(list, receiver{m, kindDirect})
+			continue
+		}
+		others[m.DataCentre] = append(others[m.DataCentre], m)
+	}
+	for _, members := range others {
+		if heard := r.Tracker.Heardable(time.Now(), members); len(heard) > 0 {
+			members = heard
+		}
+		list = append(list, receiver{members[rand.IntN(len(members))], kindRelay})
+	}
+	return list
+}
+
+// send returns the size of the report.
 func (r *Reporter) send(report *tracker.Report) int {
+	r.mu.Lock()
 	r.sequence++
 	report.Started = r.started
 	report.Sequence = r.sequence
+	r.mu.Unlock()
 	r.Tracker.Heard(time.Now(), report)
-	var raw []byte
-	if err := codec.NewEncoderBytes(&raw, &r.handle).Encode(report); err != nil || len(raw) > mostBytes {
+	raw := []byte{kindDirect}
+	var body []byte
+	if err := codec.NewEncoderBytes(&body, &r.handle).Encode(report); err != nil || len(body) > mostBytes {
 		return 0
 	}
-	for _, m := range r.Tracker.Others() {
-		addr, err := net.ResolveUDPAddr("udp4", m.ReportAddress)
-		if err != nil {
-			continue
-		}
-		// A lost datagram is made good by the next.
-		_, _ = r.conn.WriteToUDP(raw, addr)
+	raw = append(raw, body...)
+	for _, to := range r.receivers() {
+		raw[0] = to.kind
+		r.write(raw, to.Member)
 	}
 	return len(raw)
 }
 
+// write sends a datagram. A lost one is made good by the next.
+func (r *Reporter) write(raw []byte, to tracker.Member) {
+	addr, err := netip.ParseAddrPort(to.ReportAddress)
+	if err != nil {
+		return
+	}
+	_, _ = r.conn.WriteToUDPAddrPort(raw, addr)
+}
+
 func (r *Reporter) receive() {
-	buf := make([]byte, mostBytes)
-	var handle codec.MsgpackHandle
+	buf := make([]byte, mostBytes+1)
 	for {
-		n, _, err := r.conn.ReadFromUDP(buf)
+		n, _, err := r.conn.ReadFromUDPAddrPort(buf)
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
-		if err != nil {
-			continue
-		}
-		var report tracker.Report
-		if err := codec.NewDecoderBytes(buf[:n], &handle).Decode(&report); err != nil {
+		if err != nil || n < 2 {
 			continue
 		}
-		if r.Tracker.Heard(time.Now(), &report) {
-			r.Take(&report)
+		r.take(buf[:n])
+	}
+}
+
+// take reads a datagram and passes it on to the neighbours where it came to be relayed.
+func (r *Reporter) take(raw []byte) {
+	var report tracker.Report
+	if err := codec.NewDecoderBytes(raw[1:], &r.handle).Decode(&report); err != nil {
+		return
+	}
+	if !r.Tracker.Heard(time.Now(), &report) {
+		return
+	}
+	r.Take(&report)
+	if raw[0] != kindRelay {
+		return
+	}
+	raw[0] = kindDirect
+	for _, m := range r.Tracker.Others() {
+		if m.DataCentre == r.Tracker.DataCentre && m.Node != report.Node {
+			r.write(raw, m)
 		}
 	}
 }
