Count against an account what runs, and bound separately what presses on the entrance

Change: Count notes what goes on to a target; passes bound what reaches the entrance to 1.5 times the limit.

--- a/internal/caller/gateway/gateway.go
+++ b/internal/caller/gateway/gateway.go
@@ -206,6 +206,9 @@
 			return &verdict{http.StatusServiceUnavailable, "overload", time.Duration(float64(loadedAfter) / max(fraction, 0.1))}
 		}
 	}
+	if q.account != nil {
+		g.Accounts.Count(q.account.Name)
+	}
 	return nil
 }
 
--- a/internal/caller/gateway/share.go
+++ b/internal/caller/gateway/share.go
@@ -31,6 +31,13 @@
 	return a.tallier.Admit(timekeeper.Now(), name, limit)
 }
 
+// Count notes that an admitted request goes on to a target.
+func (a *Accounts) Count(name string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.tallier.Count(timekeeper.Now(), name)
+}
+
 // Heard takes what another node tells of the accounts.
 func (a *Accounts) Heard(node string, tallies []tracker.Tally) {
 	now := timekeeper.Now()
--- a/internal/policy/tallier/tallier.go
+++ b/internal/policy/tallier/tallier.go
@@ -6,7 +6,6 @@
 package tallier
 
 import (
-	"math"
 	"time"
 )
 
@@ -27,6 +26,11 @@
 	// count before it has left the window.
 	slices = 20
 	kept   = slices + 1
+	// passShare is how much more than its limit an account may press on the entrance, passSpan how long it may
+	// save that up, leastPasses the least, in requests.
+	passShare   = 1.5
+	passSpan    = 2 * time.Second
+	leastPasses = 6
 	// unheardPart is the part of the latest one and a half slices that reports have not told yet: they are
 	// a fifth of a second old at the most.
 	unheardPart = 0.5
@@ -72,9 +76,11 @@
 	offered float64
 	demand  float64
 	since   time.Duration
-	tokens  float64
-	filled  time.Duration
-	others  map[string]report
+	// tokens bound what is let in near the limit, passes what presses on the entrance.
+	tokens float64
+	passes float64
+	filled time.Duration
+	others map[string]report
 	// near says that the account was close to its limit when it was last asked for.
 	near bool
 }
@@ -90,7 +96,7 @@
 	}
 	a := t.accounts[name]
 	if a == nil {
-		a = &account{others: map[string]report{}, since: now, filled: now}
+		a = &account{others: map[string]report{}, since: now, filled: now, passes: leastPasses}
 		t.accounts[name] = a
 	}
 	a.turn(now, t.Window)
@@ -133,8 +139,9 @@
 func (t *Tallier) Fleet(n int) { t.nodes = n }
 
 // Admit says whether a request of the account is within its limit, and how long to wait otherwise. An
-// admitted request counts even if it is refused later for another reason: an account far over its rate must
-// not press on the entrance with more than its rate.
+// admitted request counts against the limit once Count is told that it goes on to a target. Requests that are
+// refused later for another reason are bounded too: an account far over its rate must not press on the
+// entrance with more than passShare of it.
 func (t *Tallier) Admit(now time.Duration, name string, limit Limit) (bool, time.Duration) {
 	if limit.Rate <= 0 {
 		return true, 0
@@ -145,10 +152,6 @@
 	used, unheard, demand := a.fleet(now, t.Window, most/t.Window.Seconds())
 	settled := now-t.Started >= t.Window
 	a.near = used > freeShare/2*most
-	if settled && used+unheard+1 <= freeShare*most+freeExtra {
-		a.counts[a.slice%kept]++
-		return true, 0
-	}
 	rate := most / t.Window.Seconds()
 	if !settled {
 		// What was let in before the start may still be within the window, so there is no burst.
@@ -157,14 +160,21 @@
 	share := t.share(now, a, demand)
 	rate *= share
 	a.fill(now, rate)
-	if a.tokens >= 1 && used+a.alike(share)+1 <= most {
-		a.counts[a.slice%kept]++
-		a.tokens--
+	free := settled && used+unheard+1 <= freeShare*most+freeExtra
+	if a.passes >= 1 && (free || (a.tokens >= 1 && used+a.alike(share)+1 <= most)) {
+		a.passes--
 		return true, 0
 	}
 	return false, time.Duration((1 - min(a.tokens, 1)) / max(rate, 0.1) * float64(time.Second))
 }
 
+// Count notes that an admitted request goes on to a target.
+func (t *Tallier) Count(now time.Duration, name string) {
+	a := t.account(now, name)
+	a.counts[a.slice%kept]++
+	a.tokens = max(a.tokens-1, 0)
+}
+
 // fleet returns what all nodes let in within the window, as far as this one knows, what they may have let in
 // since they told it, and the demand. A node lets in at most its demand, and at most its part of the rate.
 func (a *account) fleet(now, window time.Duration, rate float64) (used, unheard, demand float64) {
@@ -208,10 +218,10 @@
 }
 
 func (a *account) fill(now time.Duration, rate float64) {
-	span := now - a.filled
+	span := (now - a.filled).Seconds()
 	a.filled = now
-	most := math.Max(leastBucket, rate*bucketSpan.Seconds())
-	a.tokens = min(a.tokens+rate*span.Seconds(), most)
+	a.tokens = min(a.tokens+rate*span, max(leastBucket, rate*bucketSpan.Seconds()))
+	a.passes = min(a.passes+passShare*rate*span, max(leastPasses, passShare*rate*passSpan.Seconds()))
 }
 
 // Urgent says whether an account is close to its limit, so that the other nodes must hear soon.
--- a/internal/policy/tallier/tallier_test.go
+++ b/internal/policy/tallier/tallier_test.go
@@ -25,7 +25,9 @@
 	nodes    []*tallier.Tallier
 	now      time.Duration
 	admitted []time.Duration
-	refused  int
+	// closed has the entrance refuse what the tallier lets in; passed counts that.
+	closed bool
+	passed int
 	// weights skews the demand over the nodes; deaf nodes neither tell nor hear.
 	weights []float64
 	deaf    map[int]bool
@@ -70,6 +72,11 @@
 			for ; f.rng.Float64() < p; p-- {
 				offered++
 				if ok, _ := n.Admit(f.now, "shop", f.limit); ok {
+					if f.closed {
+						f.passed++
+						continue
+					}
+					n.Count(f.now, "shop")
 					f.admitted = append(f.admitted, f.now)
 				} else {
 					refused++
@@ -182,6 +189,19 @@
 	f.check()
 }
 
+// TestFloodAtAClosedEntrance checks that a flood which is refused for overload neither presses on the entrance
+// with much more than the account's limit, nor uses its rate up.
+func TestFloodAtAClosedEntrance(t *testing.T) {
+	f := newFleet(t, 5, 14, shop)
+	f.run(6*time.Second, 75)
+	f.closed = true
+	f.run(10*time.Second, 900)
+	assert.Assert(t, float64(f.passed) < 10*1.5*1.2*shop.Rate+2*1.5*1.2*shop.Rate, "%d passed", f.passed)
+	f.closed = false
+	offered, refused := f.run(2*time.Second, 75)
+	assert.Assert(t, refused*20 <= offered, "%d of %d refused after the flood", refused, offered)
+}
+
 func TestNoLimit(t *testing.T) {
 	var n tallier.Tallier
 	ok, _ := n.Admit(time.Hour, "shop", tallier.Limit{})
