--- a/cmd/plantainwheel-attendant/main.go
+++ b/cmd/plantainwheel-attendant/main.go
@@ -16,7 +16,7 @@
 )
 
 // stopSlack is kept of the time between SIGTERM and SIGKILL.
-const stopSlack = 600 * time.Millisecond
+const stopSlack = 900 * time.Millisecond
 
 func main() {
 	if err := run(); err != nil {
--- a/internal/node/attendant/attendant.go
+++ b/internal/node/attendant/attendant.go
@@ -218,9 +218,7 @@
 		}
 		time.Sleep(tickEvery)
 	}
-	for _, s := range a.servers {
-		s.close()
-	}
+	a.closeServers()
 	a.cancel()
 	a.reporter.Close()
 	a.running.Wait()
@@ -230,6 +228,15 @@
 	a.Log.Info().Dur("took", time.Since(began)).Msg("node stopped")
 }
 
+// closeServers closes all at once: one after the other they would not end within the grace time.
+func (a *Attendant) closeServers() {
+	var closing sync.WaitGroup
+	for _, s := range a.servers {
+		closing.Go(s.close)
+	}
+	closing.Wait()
+}
+
 const (
 	// leaveAfter is how long after the begin of a stop requests for the own target are still taken from
 	// nodes that have not heard of it.
--- a/internal/peer/reporter/reporter.go
+++ b/internal/peer/reporter/reporter.go
@@ -106,12 +106,6 @@
 	return max(period, cost)
 }
 
-// Send sends a report at once.
-func (r *Reporter) Send() {
-	report, _ := r.Make()
-	r.send(&report)
-}
-
 // receiver is a node that a report is sent to.
 type receiver struct {
 	tracker.Member
@@ -140,11 +134,9 @@
 
 // send returns the size of the report.
 func (r *Reporter) send(report *tracker.Report) int {
-	r.mu.Lock()
 	r.sequence++
 	report.Started = r.started
 	report.Sequence = r.sequence
-	r.mu.Unlock()
 	r.Tracker.Heard(time.Now(), report)
 	raw := []byte{kindDirect}
 	var body []byte
--- /dev/null
+++ b/internal/route/keeper/keeper_test.go
@@ -0,0 +1,51 @@
+package keeper_test
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/plantainwheel/plantainwheel/internal/route/keeper"
+	"github.com/plantainwheel/plantainwheel/internal/route/matcher"
+	"gotest.tools/v3/assert"
+)
+
+var errBroken = errors.New("broken")
+
+func decode(raw []byte) (matcher.Config, error) {
+	var c matcher.Config
+	if _, err := fmt.Sscanf(string(raw), "v%d", &c.Version); err != nil {
+		return c, errBroken
+	}
+	return c, nil
+}
+
+// TestNeverBackwards checks that no older version and nothing broken takes the place of the one in force,
+// from whichever side and in whichever order it comes.
+func TestNeverBackwards(t *testing.T) {
+	k := &keeper.Keeper{Decode: decode}
+	assert.Assert(t, k.Table() == nil)
+	for _, c := range []struct {
+		raw     string
+		applied bool
+		broken  bool
+		want    uint64
+	}{
+		{"v3", true, false, 3}, {"v2", false, false, 3}, {"v3", false, false, 3}, {"junk", false, true, 3}, {"v9", true, false, 9}, {"v4", false, false, 9},
+	} {
+		applied, err := k.Apply([]byte(c.raw))
+		assert.Equal(t, applied, c.applied, c.raw)
+		assert.Equal(t, errors.Is(err, errBroken), c.broken, c.raw)
+		_, version := k.Record()
+		assert.Equal(t, version, c.want)
+	}
+}
+
+// TestEvidenceOnlyGrows checks that late answers to early questions make nothing look older or younger.
+func TestEvidenceOnlyGrows(t *testing.T) {
+	k := &keeper.Keeper{Decode: decode}
+	k.Confirm(10 * time.Second)
+	k.Confirm(8 * time.Second)
+	assert.Equal(t, k.Age(12*time.Second), 2*time.Second)
+}
--- a/internal/standin/storekeeper/storekeeper.go
+++ b/internal/standin/storekeeper/storekeeper.go
@@ -114,6 +114,8 @@
 	s.mu.Unlock()
 	switch {
 	case f.Silent:
+		// The end of the caller shows only after the body was read.
+		_, _ = io.Copy(io.Discard, r.Body)
 		<-r.Context().Done()
 		panic(http.ErrAbortHandler)
 	case f.Refuse:
