--- a/internal/caller/gateway/gateway.go
+++ b/internal/caller/gateway/gateway.go
@@ -311,11 +311,13 @@
 	}
 }
 
+// maxWait returns how long the request may wait at the next target; what it has waited at others counts.
 func (g *Gateway) maxWait(q *request) time.Duration {
 	if q.call {
 		return time.Duration(callWaitShare * float64(time.Until(q.deadline)))
 	}
-	return min(mostWait, time.Duration(waitShare*float64(q.route.Objective)))
+	most := min(mostWait, time.Duration(waitShare*float64(q.route.Objective)))
+	return max(most-time.Since(q.began), 0)
 }
 
 // answer passes the target's answer on, or says truthfully that there is none.
--- a/internal/caller/gateway/gateway_test.go
+++ b/internal/caller/gateway/gateway_test.go
@@ -29,11 +29,14 @@
 	answers []*courier.Answer
 	jobs    []*executor.Job
 	nodes   []string
+	// slow is how long each job takes.
+	slow time.Duration
 }
 
 func (s *script) Do(_ context.Context, node, _ string, job *executor.Job) *courier.Answer {
 	s.jobs = append(s.jobs, job)
 	s.nodes = append(s.nodes, node)
+	time.Sleep(s.slow)
 	a := s.answers[min(len(s.jobs), len(s.answers))-1]
 	return a
 }
@@ -218,6 +221,17 @@
 	assert.Assert(t, len(f.script.jobs) <= requests+requests/10+2, "%d sends", len(f.script.jobs))
 }
 
+// TestWaitsAreCountedTogether checks that a request which several full targets refuse has not waited at each of
+// them anew: its caller would be told late.
+func TestWaitsAreCountedTogether(t *testing.T) {
+	f := newFixture(t, courier.Refuse(executor.ReasonWaited))
+	f.script.slow = 60 * time.Millisecond
+	f.send(http.MethodGet, "/read/1", "key", nil)
+	first, last := f.script.jobs[0], f.script.jobs[len(f.script.jobs)-1]
+	assert.Assert(t, first.MaxWait > 80*time.Millisecond && first.MaxWait <= 100*time.Millisecond, "%v", first.MaxWait)
+	assert.Equal(t, last.MaxWait, time.Duration(0))
+}
+
 // TestSplit checks that parts get their weights exactly, request by request.
 func TestSplit(t *testing.T) {
 	e := gateway.NewEntrance()
--- a/internal/node/attendant/report.go
+++ b/internal/node/attendant/report.go
@@ -32,7 +32,7 @@
 	a.planMu.Lock()
 	share, trim := a.share, a.trim.Value()
 	a.planMu.Unlock()
-	if share >= 1 && load.Failing < loggedFailing {
+	if load.Limit == 0 || (share >= 1 && load.Failing < loggedFailing) {
 		return
 	}
 	a.Log.Info().
