--- /dev/null
+++ b/internal/fleet/tracker/tracker_test.go
@@ -0,0 +1,126 @@
+package tracker_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/plantainwheel/plantainwheel/internal/fleet/tracker"
+	"github.com/plantainwheel/plantainwheel/internal/policy/placer"
+	"gotest.tools/v3/assert"
+)
+
+func newTracker() *tracker.Tracker {
+	t := &tracker.Tracker{Self: "own", DataCentre: "a", SilentAfter: 3 * time.Second}
+	for node, dc := range map[string]string{"own": "a", "near": "a", "far": "b"} {
+		t.SetMember(tracker.Member{Node: node, DataCentre: dc, Service: "x", Target: "i-" + node, Slots: 10, State: tracker.Ready})
+	}
+	return t
+}
+
+func candidate(t *testing.T, tr *tracker.Tracker, now time.Time, node string) placer.Candidate {
+	t.Helper()
+	list, members := tr.Candidates(now, "x", "r", nil)
+	for i, m := range members {
+		if m.Node == node {
+			return list[i]
+		}
+	}
+	t.Fatalf("%s is no candidate", node)
+	return placer.Candidate{}
+}
+
+func TestCandidates(t *testing.T) {
+	tr := newTracker()
+	now := time.Now()
+	assert.Assert(t, candidate(t, tr, now, "own").Beside)
+	assert.Assert(t, candidate(t, tr, now, "near").Near)
+	assert.Assert(t, !candidate(t, tr, now, "far").Near)
+	list, _ := tr.Candidates(now, "x", "r", []string{"near", "far"})
+	assert.Equal(t, len(list), 1)
+	for _, state := range []tracker.State{tracker.Draining, tracker.Gone, tracker.Stopping} {
+		tr.SetMember(tracker.Member{Node: "near", Service: "x", State: state})
+		list, _ = tr.Candidates(now, "x", "r", nil)
+		assert.Equal(t, len(list), 2, state)
+	}
+	list, _ = tr.Candidates(now, "other", "r", nil)
+	assert.Equal(t, len(list), 0)
+}
+
+// TestLoadFollowsWhatIsSent checks that requests under way count on top of what a node told of its load.
+func TestLoadFollowsWhatIsSent(t *testing.T) {
+	tr := newTracker()
+	now := time.Now()
+	tr.Heard(now, &tracker.Report{Node: "far", Started: 1, Sequence: 1, Target: "i-far", Running: 6, Limit: 9, Up: true})
+	tr.Sent("far")
+	tr.Sent("far")
+	c := candidate(t, tr, now, "far")
+	assert.Equal(t, c.Running, 8)
+	assert.Equal(t, c.Limit, 9)
+	tr.Loaded("far", 3, 1, 9)
+	tr.Answered("far")
+	c = candidate(t, tr, now, "far")
+	assert.Equal(t, c.Running, 2)
+	assert.Equal(t, c.Waiting, 1)
+}
+
+// TestReportsInOrder checks that a late report of a process, or one of an earlier process, is passed over.
+func TestReportsInOrder(t *testing.T) {
+	tr := newTracker()
+	now := time.Now()
+	for _, c := range []struct {
+		started  int64
+		sequence uint64
+		used     bool
+	}{{5, 2, true}, {5, 1, false}, {5, 2, false}, {4, 9, false}, {6, 1, true}} {
+		assert.Equal(t, tr.Heard(now, &tracker.Report{Node: "far", Started: c.started, Sequence: c.sequence}), c.used)
+	}
+	assert.Assert(t, !tr.Heard(now, &tracker.Report{Node: "nobody", Started: 1, Sequence: 1}))
+}
+
+// TestAvoided checks which nodes are avoided, and that being heard from ends it.
+func TestAvoided(t *testing.T) {
+	tr := newTracker()
+	now := time.Now()
+	tr.Unreachable("far")
+	assert.Assert(t, candidate(t, tr, now, "far").Avoid)
+	tr.Heard(now, &tracker.Report{Node: "far", Started: 1, Sequence: 1, Target: "i-far", Up: true})
+	assert.Assert(t, !candidate(t, tr, now, "far").Avoid)
+	tr.Heard(now, &tracker.Report{Node: "far", Started: 1, Sequence: 2, Target: "i-far", Up: false})
+	assert.Assert(t, candidate(t, tr, now, "far").Avoid)
+	later := now.Add(4 * time.Second)
+	assert.Assert(t, candidate(t, tr, later, "near").Avoid)
+	assert.Assert(t, !candidate(t, tr, later, "own").Avoid)
+	assert.Equal(t, tr.Live(later), 1)
+}
+
+// TestServices checks that only targets that can run something count as slots, and demand of all nodes.
+func TestServices(t *testing.T) {
+	tr := newTracker()
+	now := time.Now()
+	report := func(node string, up bool, load float32) {
+		tr.Heard(now, &tracker.Report{
+			Node: node, Started: 1, Sequence: 1, Target: "i-" + node, Limit: 10, Up: up, Load: load, Trim: 1,
+			Demand: map[string]float32{"x": 4},
+		})
+	}
+	report("own", true, 0.5)
+	report("near", true, 1.5)
+	report("far", false, 0)
+	s := tr.Services(now)["x"]
+	assert.Equal(t, s.Slots, 20)
+	assert.Equal(t, s.Load, 1.0)
+	assert.Equal(t, s.Demand, 8.0)
+}
+
+func TestRows(t *testing.T) {
+	tr := newTracker()
+	now := time.Now()
+	for node, hold := range map[string]float32{"near": 100, "far": 300} {
+		tr.Heard(now, &tracker.Report{Node: node, Started: 1, Sequence: 1, Rows: []tracker.Row{{Route: "r", HoldMs: hold, Calls: map[string]float32{"c": 2}}}})
+	}
+	row := tr.Rows()["r"]
+	assert.Equal(t, row.Service, "x")
+	assert.Assert(t, row.Hold > 0.199 && row.Hold < 0.201)
+	assert.Equal(t, row.Calls["c"], 2.0)
+	assert.Equal(t, candidate(t, tr, now, "near").Hold, 100*time.Millisecond)
+}
--- /dev/null
+++ b/internal/peer/adviser/adviser_test.go
@@ -0,0 +1,77 @@
+package adviser_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/plantainwheel/plantainwheel/internal/fleet/tracker"
+	"github.com/plantainwheel/plantainwheel/internal/node/timekeeper"
+	"github.com/plantainwheel/plantainwheel/internal/peer/adviser"
+	"github.com/plantainwheel/plantainwheel/internal/route/keeper"
+	"github.com/plantainwheel/plantainwheel/internal/route/matcher"
+	"gotest.tools/v3/assert"
+)
+
+func decode(raw []byte) (matcher.Config, error) {
+	var c matcher.Config
+	_, err := fmt.Sscanf(string(raw), "v%d", &c.Version)
+	return c, err
+}
+
+func newKeeper(t *testing.T, version string, age time.Duration) *keeper.Keeper {
+	t.Helper()
+	k := &keeper.Keeper{Decode: decode}
+	if version != "" {
+		_, err := k.Apply([]byte(version))
+		assert.NilError(t, err)
+	}
+	k.Confirm(timekeeper.Now() - age)
+	return k
+}
+
+// TestProofOfAge checks what a node that the store turns away learns from another one: a newer version with
+// the other's age, never less than that, and nothing from one that is behind.
+func TestProofOfAge(t *testing.T) {
+	for _, c := range []struct {
+		name            string
+		own, other      string
+		otherAge        time.Duration
+		version         uint64
+		younger, oldest time.Duration
+	}{
+		{"newer version", "v1", "v3", time.Second, 3, time.Second, 3 * time.Second},
+		{"same version, younger", "v3", "v3", time.Second, 3, time.Second, 3 * time.Second},
+		{"same version, as old", "v3", "v3", time.Minute, 3, 20 * time.Second, time.Hour},
+		{"older version", "v3", "v1", 0, 3, 20 * time.Second, time.Hour},
+		{"none there", "v3", "", 0, 3, 20 * time.Second, time.Hour},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			own := newKeeper(t, c.own, 20*time.Second)
+			server := httptest.NewServer((&adviser.Server{Keeper: newKeeper(t, c.other, c.otherAge)}).Handler())
+			defer server.Close()
+			tr := &tracker.Tracker{Self: "own", SilentAfter: time.Minute}
+			tr.SetMember(tracker.Member{Node: "other", ControlAddress: strings.TrimPrefix(server.URL, "http://")})
+			a := &adviser.Asker{
+				Keeper: own, Tracker: tr, HTTP: &http.Client{}, AskAfter: 3 * time.Second,
+				Log: &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}},
+			}
+			ctx, cancel := context.WithTimeout(context.Background(), 700*time.Millisecond)
+			defer cancel()
+			var wg sync.WaitGroup
+			wg.Go(func() { a.Run(ctx) })
+			wg.Wait()
+			_, version := own.Record()
+			assert.Equal(t, version, c.version)
+			age := own.Age(timekeeper.Now())
+			assert.Assert(t, age >= c.younger && age < c.oldest, "age %v", age)
+		})
+	}
+}
--- /dev/null
+++ b/internal/peer/reporter/reporter_test.go
@@ -0,0 +1,75 @@
+package reporter_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/plantainwheel/plantainwheel/internal/fleet/tracker"
+	"github.com/plantainwheel/plantainwheel/internal/peer/reporter"
+	"gotest.tools/v3/assert"
+)
+
+// TestReportsReachEveryNode checks that each node hears each other one, within its data centre and through
+// relays across, and that bytes that are no report do no harm.
+func TestReportsReachEveryNode(t *testing.T) {
+	const n = 6
+	members := make([]tracker.Member, n)
+	for i := range members {
+		c, err := net.ListenPacket("udp4", "127.0.0.1:0")
+		assert.NilError(t, err)
+		members[i] = tracker.Member{Node: fmt.Sprint(i), DataCentre: fmt.Sprint("dc-", i%2), ReportAddress: c.LocalAddr().String()}
+		assert.NilError(t, c.Close())
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	heard := map[string]bool{}
+	var reporters []*reporter.Reporter
+	for i, m := range members {
+		tr := &tracker.Tracker{Self: m.Node, DataCentre: m.DataCentre, SilentAfter: time.Minute}
+		for _, o := range members {
+			tr.SetMember(o)
+		}
+		r := &reporter.Reporter{
+			Listen: m.ReportAddress, Tracker: tr,
+			Make: func() (tracker.Report, bool) {
+				return tracker.Report{Node: m.Node, Tallies: []tracker.Tally{{Account: "shop", Window: float32(i)}}}, true
+			},
+			Take: func(from *tracker.Report) {
+				mu.Lock()
+				defer mu.Unlock()
+				heard[from.Node+">"+m.Node] = len(from.Tallies) == 1
+			},
+		}
+		assert.NilError(t, r.Open())
+		reporters = append(reporters, r)
+		wg.Go(func() { r.Run(ctx) })
+	}
+	noise, err := net.Dial("udp4", members[0].ReportAddress)
+	assert.NilError(t, err)
+	defer noise.Close()
+	for _, raw := range []string{"", "x", "\x00\xff\xff\xff", "\x01\x9d"} {
+		_, _ = noise.Write([]byte(raw))
+	}
+	all := func() bool {
+		mu.Lock()
+		defer mu.Unlock()
+		return len(heard) == n*(n-1)
+	}
+	for end := time.Now().Add(10 * time.Second); !all() && time.Now().Before(end); {
+		time.Sleep(20 * time.Millisecond)
+	}
+	cancel()
+	wg.Wait()
+	for _, r := range reporters {
+		r.Close()
+	}
+	assert.Equal(t, len(heard), n*(n-1))
+	for pair, whole := range heard {
+		assert.Assert(t, whole, pair)
+	}
+}
