Use the standard library where the change wrote it again; drop dead state

Cause: found on reading the whole change once more: a comparison of slices and a split of a list written by hand, a time in the tracker that nothing read, a method without use of its receiver, a share worked out twice, and a comment of the tracker that promised what its code does not do. Ruled out: making one of the two store clients (platform/ and the product's own log service speak different calls), and of the two Retry-After formulas (their times differ, so behaviour would). Change: slices.Equal, strings.SplitSeq; the rest removed or corrected. Behaviour and tests are as before.

--- a/internal/caller/gateway/share.go
+++ b/internal/caller/gateway/share.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -112,25 +113,13 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	rot := e.parts[r.Name]
-	if rot == nil || !sameParts(rot.parts, r.Parts) {
+	if rot == nil || !slices.Equal(rot.parts, r.Parts) {
 		rot = &rotation{parts: r.Parts, credits: make([]float64, len(r.Parts))}
 		e.parts[r.Name] = rot
 	}
 	return rot.next()
 }
 
-func sameParts(a, b []matcher.Part) bool {
-	if len(a) != len(b) {
-		return false
-	}
-	for i := range a {
-		if a[i] != b[i] {
-			return false
-		}
-	}
-	return true
-}
-
 func (r *rotation) next() string {
 	total := 0.0
 	best := 0
--- a/internal/fleet/tracker/tracker.go
+++ b/internal/fleet/tracker/tracker.go
@@ -110,8 +110,6 @@
 	loadOutstanding int
 	loadAt          time.Time
 	avoidUntil      time.Time
-	// knownSince is when the entry was made.
-	knownSince time.Time
 }
 
 func (t *Tracker) peer(node string) *peer {
@@ -120,7 +118,7 @@
 	}
 	p := t.peers[node]
 	if p == nil {
-		p = &peer{knownSince: time.Now()}
+		p = &peer{}
 		t.peers[node] = p
 	}
 	return p
@@ -249,8 +247,7 @@
 	return c
 }
 
-// hold returns how long the node's target takes for the route, or for its other routes where that one is
-// not known.
+// hold returns how long the node's target takes for the route, or 0 where that is not known.
 func (p *peer) hold(route string) time.Duration {
 	for i := range p.report.Rows {
 		if r := &p.report.Rows[i]; r.Route == route {
--- a/internal/route/courier/answer.go
+++ b/internal/route/courier/answer.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strings"
 )
 
 // WholeBytes is the size up to which bodies are read before they are passed on, so that a broken one can
@@ -86,21 +87,11 @@
 // StripConnection removes the headers that concern one connection only, with those that Connection names.
 func StripConnection(h http.Header) {
 	for _, v := range h["Connection"] {
-		for _, name := range splitList(v) {
-			h.Del(name)
+		for name := range strings.SplitSeq(v, ",") {
+			h.Del(strings.TrimSpace(name))
 		}
 	}
 	for _, name := range connectionHeaders {
 		delete(h, name)
 	}
 }
-
-func splitList(v string) []string {
-	var out []string
-	for part := range bytes.SplitSeq([]byte(v), []byte(",")) {
-		if name := string(bytes.TrimSpace(part)); name != "" {
-			out = append(out, name)
-		}
-	}
-	return out
-}
--- a/internal/target/executor/executor.go
+++ b/internal/target/executor/executor.go
@@ -151,7 +151,10 @@
 	defer timer.Stop()
 	select {
 	case started := <-wait:
-		return e.started(started)
+		if !started {
+			return ReasonFull
+		}
+		return ""
 	case <-timer.C:
 		return e.giveUp(job, entry, wait, ReasonWaited)
 	case <-ctx.Done():
@@ -159,13 +162,6 @@
 	}
 }
 
-func (e *Executor) started(ok bool) string {
-	if !ok {
-		return ReasonFull
-	}
-	return ""
-}
-
 func (e *Executor) offer(job *Job, entry *queuer.Entry) (chan bool, string) {
 	now := time.Now()
 	e.mu.Lock()
@@ -390,7 +386,8 @@
 	now := time.Now()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.failing = e.failureShare(now) + failureWeight*(outcome-e.failureShare(now))
+	share := e.failureShare(now)
+	e.failing = share + failureWeight*(outcome-share)
 	e.failedAt = now
 }
 
