Use nine slots in ten of the tightest service, and leave the data centre later

Cause: the load that is steered to counted a waiting request like a running one.

At 130 ms a target that has just started was preferred to one elsewhere, so the factor of a cold target is 2.5 instead of 2.

Change: a waiting request counts a quarter, the setpoint is 0.93; the penalty is 130 ms instead of 60.

--- a/internal/policy/placer/placer.go
+++ b/internal/policy/placer/placer.go
@@ -34,12 +34,14 @@
 	// last slot while slower ones, or those in other data centres, are idle.
 	crowdTime = 600 * time.Millisecond
 	// farPenalty is what a request is worth to keep in its data centre: answers that cross data centres are
-	// paid for, and the round trip comes twice with each call below.
-	farPenalty = 60 * time.Millisecond
+	// paid for, and the round trip comes twice with each call below. At 60 ms a near target with a tenth more
+	// load than others already sent requests away.
+	farPenalty = 130 * time.Millisecond
 	// besidePremium is saved by a request that does not leave its VM.
 	besidePremium = 3 * time.Millisecond
-	// coldFactor is how much slower a target is that has just started.
-	coldFactor = 2.0
+	// coldFactor is how much slower a target is that has just started; high enough to leave the data centre for a
+	// request of 100 ms.
+	coldFactor = 2.5
 	// failurePenalty is the price of a certain failure in hold times.
 	failurePenalty = 8.0
 )
--- a/internal/policy/placer/placer_test.go
+++ b/internal/policy/placer/placer_test.go
@@ -25,6 +25,10 @@
 		{"own VM before its neighbours", []placer.Candidate{near, with(near, func(c *placer.Candidate) { c.Node = "own"; c.Beside = true })}, "own"},
 		{"far where near is full", []placer.Candidate{with(near, func(c *placer.Candidate) { c.Running = 20 }), far}, "far"},
 		{"near while it has room", []placer.Candidate{with(near, func(c *placer.Candidate) { c.Running = 14 }), far}, "near"},
+		{"near while a service that binds is as loaded elsewhere", []placer.Candidate{
+			with(near, func(c *placer.Candidate) { c.Running = 18 }),
+			with(far, func(c *placer.Candidate) { c.Running = 16 }),
+		}, "near"},
 		{"faster target", []placer.Candidate{near, with(near, func(c *placer.Candidate) { c.Node = "fast"; c.Hold = hold / 2 })}, "fast"},
 		{"slow and far before fast and full", []placer.Candidate{
 			with(near, func(c *placer.Candidate) { c.Hold = 20 * time.Millisecond; c.Running = 20 }),
--- a/internal/policy/regulator/regulator.go
+++ b/internal/policy/regulator/regulator.go
@@ -8,9 +8,12 @@
 import "time"
 
 const (
-	// Setpoint is the load, in requests running or waiting per slot, that is steered to. Above it queues grow
-	// faster than throughput.
-	Setpoint = 0.85
+	// Setpoint is the load per slot that is steered to. With the weight of waiting requests it keeps some nine
+	// slots in ten of a small target busy. Above it queues grow faster than throughput.
+	Setpoint = 0.93
+	// waitingWeight is what a waiting request counts against a running one. Counted in full, the short waits of a
+	// target with few slots that is well used looked like overload, and a fifth of its slots stayed idle.
+	waitingWeight = 0.25
 	// Period is the time between two changes of the trim.
 	Period = 100 * time.Millisecond
 	// gain is the relative change of the trim per period and relative error. Requests reach a deep target up
@@ -40,7 +43,7 @@
 // Observe notes the load from now on: requests running and waiting, and the slots.
 func (m *Meter) Observe(now time.Time, running, waiting, slots int) {
 	m.advance(now)
-	m.load = float64(running+waiting) / float64(max(slots, 1))
+	m.load = (float64(running) + waitingWeight*float64(waiting)) / float64(max(slots, 1))
 }
 
 func (m *Meter) advance(now time.Time) {
