Close the learnt call graph level by level

Closing the rows walks the call graph down to depth 12 and branches at each call. Where the rows that were learnt call each other, as they do for some seconds while callers are confused, that is exponential: eight routes that call each other took more than 30 s (the test was ended), ten times a second it is asked for.

Ruled out: requests (a node with a quarter of the switches of another had used as much), system calls (a hundredth of the time), collection of garbage (25% less processor time per request at 100 than at 50, with the same uniform share).

Change: what a request causes is carried down level by level, with the calls of a level added up by route.

Figures: TestDenseGraphIsCheap, over 30 s before, below 20 ms after; the costs are the same.

It would have burnt processor time on the users' VMs in the same way.

--- a/internal/policy/apportioner/apportioner.go
+++ b/internal/policy/apportioner/apportioner.go
@@ -211,24 +211,33 @@
 	Calls map[string]float64
 }
 
-// Close works out what a request of each route uses of all services below it.
+// Close works out what a request of each route uses of all services below it. Level by level, so that rows which
+// call each other, as wrongly learnt ones may, cost no more than maxDepth passes.
 func Close(rows map[string]Row) Costs {
 	costs := Costs{}
 	for name := range rows {
 		into := map[string]float64{}
-		add(into, rows, name, 1, maxDepth)
+		level := map[string]float64{name: 1}
+		for depth := 0; depth < maxDepth && len(level) > 0; depth++ {
+			level = descend(into, rows, level)
+		}
 		costs[name] = into
 	}
 	return costs
 }
 
-func add(into map[string]float64, rows map[string]Row, name string, times float64, depth int) {
-	row, ok := rows[name]
-	if !ok || depth == 0 {
-		return
-	}
-	into[row.Service] += times * row.Hold
-	for callee, n := range row.Calls {
-		add(into, rows, callee, times*n, depth-1)
+// descend adds what the requests of a level use, and returns the calls that they make.
+func descend(into map[string]float64, rows map[string]Row, level map[string]float64) map[string]float64 {
+	next := map[string]float64{}
+	for name, times := range level {
+		row, ok := rows[name]
+		if !ok {
+			continue
+		}
+		into[row.Service] += times * row.Hold
+		for callee, n := range row.Calls {
+			next[callee] += times * n
+		}
 	}
+	return next
 }
--- a/internal/policy/apportioner/apportioner_test.go
+++ b/internal/policy/apportioner/apportioner_test.go
@@ -1,6 +1,7 @@
 package apportioner_test
 
 import (
+	"fmt"
 	"math"
 	"testing"
 	"time"
@@ -182,3 +183,26 @@
 	demand := a.Measure(now, costs)["dispatch"]
 	assert.Assert(t, math.Abs(demand-100*0.24) < 0.1, "100 requests a second use 24 slots: %.1f", demand)
 }
+
+// TestDenseGraphIsCheap checks that wrongly learnt rows in which many routes call each other cost little time: all
+// nodes close the same rows ten times a second.
+func TestDenseGraphIsCheap(t *testing.T) {
+	rows := map[string]apportioner.Row{}
+	for i := range 8 {
+		calls := map[string]float64{}
+		for k := range 8 {
+			calls[fmt.Sprint(k)] = 0.1
+		}
+		rows[fmt.Sprint(i)] = apportioner.Row{Service: fmt.Sprint(i % 3), Hold: 0.1, Calls: calls}
+	}
+	began := time.Now()
+	costs := apportioner.Close(rows)
+	assert.Assert(t, time.Since(began) < 20*time.Millisecond, "%s", time.Since(began))
+	// Each request causes 0.8 others at each depth, an eighth of them of each route.
+	all := 0.0
+	for _, c := range costs["0"] {
+		all += c
+	}
+	want := 0.1 * (1 - math.Pow(0.8, 12)) / (1 - 0.8)
+	assert.Assert(t, math.Abs(all-want) < 1e-3, "%.4f for %.4f", all, want)
+}
