Wait for requests that arrive while a stopping node closes its sockets

The node serves for 2.5 s, looks whether a request is under way, and closes; a request that arrived between the look and the close had 150 ms, the bound of the graceful close of a socket.

Ruled out: the grace time (3.4 s of it were left), the client (its new connection was accepted), the target.

Change: a server whose graceful close takes longer than that waits until no request is under way, for three looks in a row, or until the node's time for its stop is over. Connections without a request are still closed at once.

--- a/internal/node/attendant/attendant.go
+++ b/internal/node/attendant/attendant.go
@@ -226,12 +226,12 @@
 	time.Sleep(min(leaveAfter, within/2))
 	a.executor.Stop()
 	for time.Since(began) < within {
-		if time.Since(began) > min(serveAfter, within) && a.gateway.InFlight() == 0 && a.executor.Load().Running == 0 {
+		if time.Since(began) > min(serveAfter, within) && !a.busy() {
 			break
 		}
 		time.Sleep(tickEvery)
 	}
-	a.closeServers()
+	a.closeServers(began.Add(within))
 	a.cancel()
 	a.reporter.Close()
 	a.running.Wait()
@@ -241,11 +241,14 @@
 	a.Log.Info().Dur("took", time.Since(began)).Msg("node stopped")
 }
 
+// busy says whether a request is on its way through the node.
+func (a *Attendant) busy() bool { return a.gateway.InFlight() > 0 || a.executor.Load().Running > 0 }
+
 // closeServers closes all at once: one after the other they would not end within the grace time.
-func (a *Attendant) closeServers() {
+func (a *Attendant) closeServers(latest time.Time) {
 	var closing sync.WaitGroup
 	for _, s := range a.servers {
-		closing.Go(s.close)
+		closing.Go(func() { s.close(a.busy, latest) })
 	}
 	closing.Wait()
 }
--- a/internal/node/attendant/server.go
+++ b/internal/node/attendant/server.go
@@ -24,6 +24,9 @@
 	// probeEvery finds connections of clients that have gone silent.
 	probeEvery  = 5 * time.Second
 	closeWithin = 150 * time.Millisecond
+	// closePoll is how often a server that closes looks whether requests are still served.
+	closePoll  = 10 * time.Millisecond
+	closeLooks = 3
 	// maxAnnouncement bounds the body of an announcement.
 	maxAnnouncement = 64 << 10
 	// recordWithin is how long an announcement that the target leaves waits for the store, so that a later
@@ -58,12 +61,22 @@
 	return nil
 }
 
-func (s *server) close() {
+// close ends the server: at once where no connection is in use, else when no request is served any more or the
+// time is over. Connections without a request are not waited for.
+func (s *server) close(busy func() bool, latest time.Time) {
 	ctx, cancel := context.WithTimeout(context.Background(), closeWithin)
 	defer cancel()
-	if err := s.http.Shutdown(ctx); err != nil {
-		_ = s.http.Close()
+	if s.http.Shutdown(ctx) == nil {
+		return
+	}
+	// A request whose head is being read does not show yet, so one look is not enough.
+	for idle := 0; idle < closeLooks && time.Now().Before(latest); idle++ {
+		time.Sleep(closePoll)
+		if busy() {
+			idle = 0
+		}
 	}
+	_ = s.http.Close()
 }
 
 func (a *Attendant) controlListen() string {
