A stopping node takes nothing new after three seconds

Under load a request is always under way, so the node went on taking new ones until its time was over and then broke off what ran. Clients went on sending, since the store had been away and too few nodes of the data centre were ready for the platform to send them elsewhere.

Ruled out: the fault mended before (a request between the look and the close): here the node never closed.

Change: the sockets are closed after 3 s at the latest; what has been taken has the rest of the grace time. New connections are refused then, which clients know as not run.

--- a/internal/node/attendant/attendant.go
+++ b/internal/node/attendant/attendant.go
@@ -225,10 +225,7 @@
 	a.publishStopping()
 	time.Sleep(min(leaveAfter, within/2))
 	a.executor.Stop()
-	for time.Since(began) < within {
-		if time.Since(began) > min(serveAfter, within) && !a.busy() {
-			break
-		}
+	for time.Since(began) < min(takeUntil, within) && (time.Since(began) < serveAfter || a.busy()) {
 		time.Sleep(tickEvery)
 	}
 	a.closeServers(began.Add(within))
@@ -260,4 +257,7 @@
 	// serveAfter is how long the node serves after the begin of a stop: the platform asks each second
 	// whether it is ready, and sends clients elsewhere after two misses.
 	serveAfter = 2500 * time.Millisecond
+	// takeUntil is how long after the begin of a stop new requests are taken while others are still served: clients
+	// may keep sending, where too few nodes are ready, and what is taken late cannot be finished.
+	takeUntil = 3 * time.Second
 )
--- a/internal/node/attendant/attendant_test.go
+++ b/internal/node/attendant/attendant_test.go
@@ -1,6 +1,7 @@
 package attendant_test
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -8,6 +9,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -25,15 +27,19 @@
 // fleet is real nodes over sockets, with stand-ins for the store and the targets.
 type fleet struct {
 	t       *testing.T
+	work    time.Duration
 	store   *storekeeper.Store
 	server  *httptest.Server
 	nodes   []*attendant.Attendant
 	targets []*responder.Responder
 }
 
-func newFleet(t *testing.T, n int) *fleet {
+func newFleet(t *testing.T, n int) *fleet { return newFleetWorking(t, n, 20*time.Millisecond) }
+
+// newFleetWorking starts a fleet whose targets take the given time for a request.
+func newFleetWorking(t *testing.T, n int, work time.Duration) *fleet {
 	t.Helper()
-	f := &fleet{t: t, store: &storekeeper.Store{}}
+	f := &fleet{t: t, work: work, store: &storekeeper.Store{}}
 	f.server = httptest.NewServer(f.store)
 	f.store.Put(platform.ConfigTopic, platform.ConfigKey, fmt.Appendf(nil, config, 1, "key"))
 	for i := range n {
@@ -60,7 +66,7 @@
 func (f *fleet) start(i int) {
 	f.t.Helper()
 	ip := fmt.Sprintf("127.0.9.%d", i+1)
-	target := &responder.Responder{Work: 20 * time.Millisecond}
+	target := &responder.Responder{Work: f.work}
 	address, err := target.Open()
 	assert.NilError(f.t, err)
 	ports := freePorts(f.t, ip, 6)
@@ -206,3 +212,63 @@
 	f.store.SetFaults(storekeeper.Faults{})
 	f.eventually("served again", func() bool { return f.get(0, "/a/1", "outbound") == 200 })
 }
+
+// TestStopUnderLoad checks that a node which stops while clients do not cease to send answers what it has taken,
+// and then takes nothing more: clients that cannot connect know that nothing has run.
+func TestStopUnderLoad(t *testing.T) {
+	f := newFleetWorking(t, 2, 400*time.Millisecond)
+	f.eventually("served", func() bool { return f.get(1, "/a/1", "outbound") == 200 })
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	var wg sync.WaitGroup
+	stop := make(chan struct{})
+	var mu sync.Mutex
+	var broken []error
+	refused := 0
+	for range 8 {
+		wg.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				err := f.post(client, 1)
+				mu.Lock()
+				switch {
+				case errors.Is(err, syscall.ECONNREFUSED):
+					refused++
+				case err != nil:
+					broken = append(broken, err)
+				}
+				mu.Unlock()
+			}
+		})
+	}
+	time.Sleep(100 * time.Millisecond)
+	f.nodes[1].Stop(4 * time.Second)
+	close(stop)
+	wg.Wait()
+	f.nodes = f.nodes[:1]
+	f.targets[1].Close()
+	f.targets = f.targets[:1]
+	assert.Equal(t, len(broken), 0, "%v", broken)
+	assert.Assert(t, refused > 0)
+}
+
+// post sends a request that may run only once, and returns an error where there was no answer to it.
+func (f *fleet) post(client *http.Client, i int) error {
+	req, err := http.NewRequest(http.MethodPost, "http://"+f.nodes[i].Settings.OutboundListen+"/a/1", nil)
+	if err != nil {
+		return err
+	}
+	req.Host = "h.example"
+	req.Header.Set(platform.RequestIDHeader, "id")
+	req.Header.Set(platform.AuthorizationHeader, platform.KeyPrefix+"key")
+	resp, err := client.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	_, err = io.Copy(io.Discard, resp.Body)
+	return err
+}
