--- /dev/null
+++ b/internal/soak/disrupter/disrupter_test.go
@@ -0,0 +1,55 @@
+package disrupter_test
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/plantainwheel/plantainwheel/internal/soak/disrupter"
+	"gotest.tools/v3/assert"
+)
+
+// TestPlanRepeats checks that a seed always gives the same series, and that series overlap and hold every kind.
+func TestPlanRepeats(t *testing.T) {
+	kinds := map[disrupter.Kind]bool{}
+	overlaps := 0
+	for seed := range uint64(20) {
+		steps := disrupter.Plan(seed, 5, 20*time.Second)
+		assert.DeepEqual(t, steps, disrupter.Plan(seed, 5, 20*time.Second))
+		for i, s := range steps {
+			kinds[s.Kind] = true
+			if i > 0 && steps[i-1].At+steps[i-1].For > s.At {
+				overlaps++
+			}
+		}
+	}
+	assert.Equal(t, len(kinds), 13)
+	assert.Assert(t, overlaps > 100, "%d", overlaps)
+}
+
+// TestSeeds soaks real nodes with the seeds of testdata/seeds.txt: one for every run, and each that ever failed.
+func TestSeeds(t *testing.T) {
+	directory := t.TempDir()
+	program := filepath.Join(directory, "node")
+	out, err := exec.Command("go", "build", "-o", program, "../../../cmd/plantainwheel-attendant").CombinedOutput()
+	assert.NilError(t, err, string(out))
+	raw, err := os.ReadFile("testdata/seeds.txt")
+	assert.NilError(t, err)
+	for line := range strings.Lines(string(raw)) {
+		text, cause, _ := strings.Cut(strings.TrimSpace(line), "#")
+		if strings.TrimSpace(text) == "" {
+			continue
+		}
+		seed, err := strconv.ParseUint(strings.TrimSpace(text), 10, 64)
+		assert.NilError(t, err)
+		s := &disrupter.Soak{Program: program, Directory: t.TempDir(), Seed: seed, Nodes: 4, Span: 8 * time.Second}
+		result, err := s.Run(t.Context())
+		assert.NilError(t, err)
+		assert.Equal(t, len(result.Findings), 0, "seed %d (%s): %v, steps %+v", seed, cause, result.Findings, result.Steps)
+		assert.Assert(t, result.Requests > 100, "%d requests after the faults", result.Requests)
+	}
+}
