--- a/internal/soak/disrupter/soak.go
+++ b/internal/soak/disrupter/soak.go
@@ -91,15 +91,23 @@
 		}
 	}
 	steps := Plan(s.Seed, s.Nodes, s.Span)
-	time.Sleep(calmBefore)
+	rest(ctx, calmBefore)
 	d := &Disrupter{Fleet: s.fleet, Nodes: s.Nodes, Withdraw: s.withdraw, Broke: s.broke}
 	d.Run(ctx, steps)
 	s.mend()
-	time.Sleep(calmAfter)
+	rest(ctx, calmAfter)
 	stopped := time.Now()
 	stop()
 	clients.Wait()
-	return s.result(steps, stopped), nil
+	return s.result(steps, stopped), ctx.Err()
+}
+
+// rest waits for a time, or until the context ends.
+func rest(ctx context.Context, span time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(span):
+	}
 }
 
 // mend starts what overlapping faults have left down.
