Read a topic with pauses in one place, and look up recalled costs only where they are needed

Ruled out: sharing the limit's type with the tallier, as the judge must not lean on what it judges; holding the histograms by route, 0.3 us (estimated, not measured) of a request's some 350.

Tests of the packages concerned green.

--- a/internal/fleet/tracker/tracker.go
+++ b/internal/fleet/tracker/tracker.go
@@ -334,10 +334,13 @@
 
 // rows returns what the node tells of its target, or what it had learnt before this process started.
 func (t *Tracker) rows(p *peer) []Row {
-	if c := t.recalled[p.Node]; len(p.report.Rows) == 0 && c.Service == p.Service {
+	if len(p.report.Rows) > 0 {
+		return p.report.Rows
+	}
+	if c := t.recalled[p.Node]; c.Service == p.Service {
 		return c.Rows
 	}
-	return p.report.Rows
+	return nil
 }
 
 // Rows returns what a request of each route causes, averaged over the targets that told it. What a lost
--- a/internal/node/attendant/attendant.go
+++ b/internal/node/attendant/attendant.go
@@ -164,7 +164,8 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	a.cancel = cancel
 	for _, run := range []func(context.Context){
-		a.watcher.FollowConfig, a.watcher.FollowMembers, a.watcher.PublishOwn, a.watcher.KeepCosts, a.reporter.Run, a.asker.Run, a.tick,
+		a.watcher.FollowConfig, a.watcher.FollowMembers, a.watcher.PublishOwn, a.watcher.KeepCosts,
+		a.reporter.Run, a.asker.Run, a.tick,
 	} {
 		a.running.Go(func() { run(ctx) })
 	}
--- a/internal/node/attendant/attendant_test.go
+++ b/internal/node/attendant/attendant_test.go
@@ -114,12 +114,7 @@
 	if socket == "ready" {
 		address = cfg.ReadyListen
 	}
-	req, err := http.NewRequest(http.MethodGet, "http://"+address+path, nil)
-	assert.NilError(f.t, err)
-	req.Host = "h.example"
-	req.Header.Set(platform.RequestIDHeader, "id")
-	req.Header.Set(platform.AuthorizationHeader, platform.KeyPrefix+"key")
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := http.DefaultClient.Do(f.request(http.MethodGet, address, path))
 	if err != nil {
 		return 0
 	}
@@ -128,6 +123,16 @@
 	return resp.StatusCode
 }
 
+// request returns a client's request.
+func (f *fleet) request(method, address, path string) *http.Request {
+	r := httptest.NewRequest(method, "http://"+address+path, nil)
+	r.RequestURI = ""
+	r.Host = "h.example"
+	r.Header.Set(platform.RequestIDHeader, "id")
+	r.Header.Set(platform.AuthorizationHeader, platform.KeyPrefix+"key")
+	return r
+}
+
 func (f *fleet) eventually(what string, done func() bool) {
 	f.t.Helper()
 	for end := time.Now().Add(8 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
@@ -257,14 +262,7 @@
 
 // post sends a request that may run only once, and returns an error where there was no answer to it.
 func (f *fleet) post(client *http.Client, i int) error {
-	req, err := http.NewRequest(http.MethodPost, "http://"+f.nodes[i].Settings.OutboundListen+"/a/1", nil)
-	if err != nil {
-		return err
-	}
-	req.Host = "h.example"
-	req.Header.Set(platform.RequestIDHeader, "id")
-	req.Header.Set(platform.AuthorizationHeader, platform.KeyPrefix+"key")
-	resp, err := client.Do(req)
+	resp, err := client.Do(f.request(http.MethodPost, f.nodes[i].Settings.OutboundListen, "/a/1"))
 	if err != nil {
 		return err
 	}
--- a/internal/platform/watcher/costs.go
+++ b/internal/platform/watcher/costs.go
@@ -23,7 +23,8 @@
 // node learns, until the context ends. Without it a fleet that has lost all its nodes lets in more than its
 // tightest service can do until it has learnt anew.
 func (w *Watcher) KeepCosts(ctx context.Context) {
-	if !w.recallCosts(ctx) {
+	t := topic{store: w.Store, name: platform.CostTopic, log: w.Log, take: w.takeCosts}
+	if !t.read(ctx) {
 		return
 	}
 	var stored []tracker.Row
@@ -42,25 +43,6 @@
 	}
 }
 
-// recallCosts reads what stands in the store. It reports false where the context ended before.
-func (w *Watcher) recallCosts(ctx context.Context) bool {
-	t := topic{store: w.Store, name: platform.CostTopic, log: w.Log, take: w.takeCosts}
-	pause := retryAfter
-	for {
-		err := t.step(ctx)
-		t.note(err)
-		if err == nil {
-			return true
-		}
-		select {
-		case <-ctx.Done():
-			return false
-		case <-time.After(pause):
-		}
-		pause = min(2*pause, longestRetry)
-	}
-}
-
 func (w *Watcher) takeCosts(records []platform.Record) bool {
 	for _, r := range records {
 		var c tracker.Costs
--- a/internal/platform/watcher/watcher.go
+++ b/internal/platform/watcher/watcher.go
@@ -54,13 +54,19 @@
 
 // follow reads until the context ends.
 func (t *topic) follow(ctx context.Context) {
+	for t.read(ctx) {
+	}
+}
+
+// read makes one read, and makes it again with growing pauses until it succeeds. It reports false where the
+// context ended before.
+func (t *topic) read(ctx context.Context) bool {
 	pause := retryAfter
 	for ctx.Err() == nil {
 		err := t.step(ctx)
 		t.note(err)
 		if err == nil {
-			pause = retryAfter
-			continue
+			return true
 		}
 		select {
 		case <-ctx.Done():
@@ -68,6 +74,7 @@
 		}
 		pause = min(2*pause, longestRetry)
 	}
+	return false
 }
 
 // note logs the loss and the return of the store.
--- a/internal/soak/disrupter/disrupter.go
+++ b/internal/soak/disrupter/disrupter.go
@@ -33,7 +33,7 @@
 	WithdrawKey  Kind = "withdraw-key"
 )
 
-// kinds are drawn alike, but for KillAll, which ends series of other faults.
+// kinds are drawn alike.
 var kinds = []Kind{
 	KillNode, StopNode, FreezeNode, DrainTarget, CrashTarget, LoseAnswers, PeerLink, StoreLink, TargetLink,
 	StoreRefuses, StoreSilent, WithdrawKey, KillAll,
@@ -138,7 +138,8 @@
 		// The operator reaches the store; this node does not hear of it.
 		n.StoreRelay.Break(s.Link)
 		d.Withdraw()
-		strike(n.StoreRelay, s)
+		time.Sleep(s.For)
+		n.StoreRelay.Break(relayer.None)
 	case TargetLink:
 		strike(n.TargetRelay, s)
 	case StoreRefuses:
--- a/internal/soak/disrupter/soak.go
+++ b/internal/soak/disrupter/soak.go
@@ -17,7 +17,7 @@
 
 const (
 	host = "studio.example"
-	// open has no limit, bounded sends twice its limit, and the key of changing is withdrawn at times.
+	// open has no limit, bounded sends several times its limit, and the key of changing is withdrawn at times.
 	open     = "open"
 	bounded  = "bounded"
 	changing = "changing"
@@ -140,7 +140,7 @@
 	s.broken = append(s.broken, judge.Finding{Rule: rule, Text: text})
 }
 
-// declare writes the configuration with the present keys. The caller of withdraw holds the lock.
+// declare writes the configuration with the present keys. The caller holds the lock, unless nothing else runs yet.
 func (s *Soak) declare() {
 	s.version++
 	var accounts []string
@@ -241,7 +241,6 @@
 			answer.Status = 0
 		}
 	}
-	answer.At = time.Now()
 	s.judge.Answered(answer)
 	return answer.Status
 }
--- a/internal/soak/judge/judge.go
+++ b/internal/soak/judge/judge.go
@@ -37,7 +37,6 @@
 	// Seal and Body are the target's where it answered with success.
 	Seal string
 	Body string
-	At   time.Time
 }
 
 // Limit bounds a client account.
--- a/internal/soak/launcher/launcher.go
+++ b/internal/soak/launcher/launcher.go
@@ -196,7 +196,7 @@
 	}
 }
 
-// settings is the file that the platform would write.
+// settings is the file that the platform would write, in the platform's own words.
 func (n *Node) settings() string {
 	return fmt.Sprintf(`[self]
 node_name = %q
