Log the era of the store and the reader's position

The client now returns the era (Store-Era) and the end of the topic with each read; the watcher logs an answer from another era with the old and the new era, its position and the end of the topic, and a position that the store does not have. Nothing is decided by them yet. Tests of platform and watcher pass as before.

--- a/internal/platform/watcher/watcher.go
+++ b/internal/platform/watcher/watcher.go
@@ -31,8 +31,8 @@
 // Store is the part of the platform's store that the watcher uses.
 type Store interface {
 	Put(ctx context.Context, topic, key string, value []byte) error
-	Read(ctx context.Context, topic string, from int64, wait time.Duration) ([]platform.Record, int64, error)
-	Newest(ctx context.Context, topic string) ([]platform.Record, int64, error)
+	Read(ctx context.Context, topic string, from int64, wait time.Duration) (platform.Batch, error)
+	Newest(ctx context.Context, topic string) (platform.Batch, error)
 }
 
 // topic follows one keyed topic of the store.
@@ -53,6 +53,9 @@
 	// started is set while reads can continue from next. Otherwise the newest records are read.
 	started bool
 	failing bool
+	// era is the era of the latest answer.
+	era      platform.Era
+	eraKnown bool
 }
 
 // follow reads until ctx ends.
@@ -99,16 +102,18 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, t.wait+readTimeoutMargin)
 	defer cancel()
-	records, next, err := t.store.Read(ctx, t.name, t.next, t.wait)
+	batch, err := t.store.Read(ctx, t.name, t.next, t.wait)
 	if errors.Is(err, platform.ErrExpired) {
+		t.log.Info().Str("topic", t.name).Int64("next", t.next).Msg("records at the read position not available")
 		t.started = false
 		return nil
 	}
 	if err != nil {
 		return err
 	}
-	t.next = next
-	if t.apply(records) && t.onApplied != nil {
+	t.logEra(batch)
+	t.next = batch.Next
+	if t.apply(batch.Records) && t.onApplied != nil {
 		t.onApplied(sentAt)
 	}
 	return nil
@@ -118,25 +123,36 @@
 func (t *topic) restart(ctx context.Context, sentAt time.Duration) error {
 	ctx, cancel := context.WithTimeout(ctx, newestTimeout)
 	defer cancel()
-	records, end, err := t.store.Newest(ctx, t.name)
+	batch, err := t.store.Newest(ctx, t.name)
 	if err != nil {
 		return err
 	}
-	t.next = end
+	t.logEra(batch)
+	t.next = batch.Next
 	t.started = true
 	if t.reset != nil {
 		keys := map[string]bool{}
-		for _, r := range records {
+		for _, r := range batch.Records {
 			keys[r.Key] = true
 		}
 		t.reset(keys)
 	}
-	if t.apply(records) && t.onApplied != nil {
+	if t.apply(batch.Records) && t.onApplied != nil {
 		t.onApplied(sentAt)
 	}
 	return nil
 }
 
+// logEra logs an answer from another era than the one before, with the position of the reader in both.
+func (t *topic) logEra(batch platform.Batch) {
+	if t.eraKnown && batch.Era == t.era {
+		return
+	}
+	t.log.Info().Str("topic", t.name).Int64("old-era", int64(t.era)).Int64("era", int64(batch.Era)).
+		Int64("next", t.next).Int64("end", batch.End).Msg("store answers in another era")
+	t.era, t.eraKnown = batch.Era, true
+}
+
 // Watcher follows the store and publishes this node's records.
 type Watcher struct {
 	Store   Store
