Reproduce a store that is restored from a copy: tests fail

The store's stand-in keeps all records with their times, can be restored to a moment, counts eras (Store-Era in each answer), breaks off waiting reads then, answers 410 beyond its end, pages log-newest, and writes the operator's lost records again.

The soak gets the kind store-restored: keys are revoked around the return, and in every second case changes take up all lost offsets.

--- a/cmd/plantainwheel-soak/main.go
+++ b/cmd/plantainwheel-soak/main.go
@@ -27,6 +27,8 @@
 			&cli.Uint64Flag{Name: "seed", Usage: "first seed; 0 selects a random one"},
 			&cli.IntFlag{Name: "runs", Usage: "number of seeds, run one after the other", Value: 1},
 			&cli.IntFlag{Name: "nodes", Usage: "number of nodes", Value: 5},
+			&cli.BoolFlag{Name: "base-kinds", Usage: "draw faults only from the kinds of the recorded seeds"},
+			&cli.StringSliceFlag{Name: "kind", Usage: "draw faults only from this kind; may be given several times"},
 			&cli.DurationFlag{Name: "span", Usage: "period during which new faults are injected", Value: 20 * time.Second},
 		},
 		Action: run,
@@ -67,6 +69,7 @@
 	}
 	s := &injector.Soak{
 		Program: c.String("program"), Directory: directory, Seed: seed, Nodes: c.Int("nodes"), FaultPeriod: c.Duration("span"),
+		Kinds: kinds(c),
 	}
 	result, err := s.Run(ctx)
 	if err != nil {
@@ -79,3 +82,19 @@
 	fmt.Println(string(line))
 	return len(result.Findings), nil
 }
+
+// kinds returns the kinds of faults to draw from.
+func kinds(c *cli.Command) []injector.Kind {
+	var list []injector.Kind
+	for _, name := range c.StringSlice("kind") {
+		list = append(list, injector.Kind(name))
+	}
+	switch {
+	case len(list) > 0:
+		return list
+	case c.Bool("base-kinds"):
+		return injector.BaseKinds
+	default:
+		return injector.AllKinds
+	}
+}
--- /dev/null
+++ b/internal/platform/watcher/restore_test.go
@@ -0,0 +1,154 @@
+package watcher_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/plantainwheel/plantainwheel/internal/fleet/tracker"
+	"github.com/plantainwheel/plantainwheel/internal/node/timekeeper"
+	"github.com/plantainwheel/plantainwheel/internal/standin/storer"
+	"github.com/plantainwheel/plantainwheel/platform"
+	"gotest.tools/v3/assert"
+)
+
+// restoreScript runs one case of testdata/restore.txt.
+type restoreScript struct {
+	*fixture
+	t          *testing.T
+	store      *storer.Store
+	mark       time.Time
+	lost       []storer.Lost
+	restoredAt time.Duration
+}
+
+// TestRestoredStore guards against configurations and records that are lost, or taken for the newest, after the store
+// has been restored from a copy.
+func TestRestoredStore(t *testing.T) {
+	raw, err := os.ReadFile("testdata/restore.txt")
+	assert.NilError(t, err)
+	for _, text := range strings.Split(string(raw), "\n[")[1:] {
+		name, steps, _ := strings.Cut(text, "]\n")
+		t.Run(strings.ReplaceAll(name, " ", "-"), func(t *testing.T) {
+			t.Parallel()
+			s := &restoreScript{t: t, store: &storer.Store{}}
+			for step := range strings.Lines(steps) {
+				if fields := strings.Fields(step); len(fields) > 0 {
+					s.run(fields[0], append(fields[1:], "", ""))
+				}
+			}
+		})
+	}
+}
+
+// run performs one step:
+//
+//	node                  starts the node
+//	config N, noise N     the operator writes version N, or N records of other keys
+//	member NODE STATE     another node writes its record
+//	publish STATE         the node publishes its own record
+//	mark, restore         makes the copy, restores the store from it
+//	write-again           the operator writes the lost records again
+//	offline, online       the store refuses all calls, or accepts them again
+//	pause TIME            waits
+//	version N             the version in force becomes N
+//	stored STATE          the node's own record in the store gets the state
+//	known, unknown NODE   the member becomes known or unknown
+//	keep NODE TIME        the member stays known for the time
+//	confirmed             the configuration becomes confirmed after the restore
+//	unconfirmed TIME      the configuration is not confirmed after the restore for the time
+func (s *restoreScript) run(verb string, args []string) {
+	s.t.Helper()
+	switch verb {
+	case "node":
+		s.fixture = start(s.t, s.store)
+	case "config":
+		s.store.Put(platform.ConfigTopic, platform.ConfigKey, config(s.number(args[0])))
+	case "noise":
+		for i := range s.number(args[0]) {
+			s.store.Put(platform.ConfigTopic, fmt.Sprint("noise-", i), []byte("x"))
+		}
+	case "member":
+		raw, err := json.Marshal(tracker.Member{Node: args[0], Service: "x", State: tracker.State(args[1])})
+		assert.NilError(s.t, err)
+		s.store.Put(platform.MemberTopic, args[0], raw)
+	case "publish":
+		s.watcher.Publish(tracker.Member{Node: "own", Target: "i-1", State: tracker.State(args[0])})
+	case "mark":
+		s.mark = time.Now()
+	case "restore":
+		s.lost = s.store.Restore(s.mark)
+		s.restoredAt = timekeeper.SinceBoot()
+	case "write-again":
+		s.store.WriteAgain(s.lost, s.mark)
+	case "offline", "online":
+		s.store.SetFaults(storer.Faults{Unavailable: verb == "offline"})
+	case "pause":
+		time.Sleep(s.duration(args[0]))
+	default:
+		s.check(verb, args)
+	}
+}
+
+func (s *restoreScript) check(verb string, args []string) {
+	s.t.Helper()
+	switch verb {
+	case "version":
+		s.eventually("version "+args[0], func() bool { return s.version() == uint64(s.number(args[0])) })
+	case "stored":
+		s.eventually("own record "+args[0], func() bool {
+			var m tracker.Member
+			return json.Unmarshal(s.store.Newest(platform.MemberTopic, "own"), &m) == nil && m.State == tracker.State(args[0])
+		})
+	case "known", "unknown":
+		s.eventually(verb+" "+args[0], func() bool { return s.knows(args[0]) == (verb == "known") })
+	case "keep":
+		s.always("member "+args[0], s.duration(args[1]), func() bool { return s.knows(args[0]) })
+	case "confirmed":
+		s.eventually("configuration confirmed", s.confirmed)
+	case "unconfirmed":
+		s.always("configuration not confirmed", s.duration(args[0]), func() bool { return !s.confirmed() })
+	default:
+		s.t.Fatalf("unknown step %q", verb)
+	}
+}
+
+func (s *restoreScript) number(text string) int {
+	n, err := strconv.Atoi(text)
+	assert.NilError(s.t, err)
+	return n
+}
+
+func (s *restoreScript) duration(text string) time.Duration {
+	d, err := time.ParseDuration(text)
+	assert.NilError(s.t, err)
+	return d
+}
+
+func (s *restoreScript) knows(node string) bool {
+	for _, m := range s.tracker.OtherMembers() {
+		if m.Node == node {
+			return true
+		}
+	}
+	return false
+}
+
+// confirmed reports whether the configuration was confirmed by a read that was sent after the latest restore.
+func (s *restoreScript) confirmed() bool {
+	now := timekeeper.SinceBoot()
+	return s.version() > 0 && s.keeper.Age(now) < now-s.restoredAt
+}
+
+func (s *restoreScript) always(what string, period time.Duration, holds func() bool) {
+	s.t.Helper()
+	for end := time.Now().Add(period); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if !holds() {
+			s.t.Fatalf("condition not kept for %s: %s", period, what)
+		}
+	}
+}
--- a/internal/soak/checker/checker.go
+++ b/internal/soak/checker/checker.go
@@ -81,7 +81,8 @@
 	requests  map[string]Request
 	runs      []Run
 	responses []Response
-	// revokedAt is keyed by API key, drainingSince by target instance.
+	// grantedAt and revokedAt are keyed by API key, drainingSince by target instance.
+	grantedAt     map[string]time.Time
 	revokedAt     map[string]time.Time
 	drainingSince map[string]time.Time
 }
@@ -120,6 +121,16 @@
 	c.revokedAt[key] = at
 }
 
+// RecordGrant records the time at which the store acknowledged a new key.
+func (c *Checker) RecordGrant(key string, at time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.grantedAt == nil {
+		c.grantedAt = map[string]time.Time{}
+	}
+	c.grantedAt[key] = at
+}
+
 // RecordDrain records the time at which a node acknowledged that a target is draining. Later calls for the
 // same target have no effect.
 func (c *Checker) RecordDrain(instance string, at time.Time) {
@@ -207,13 +218,27 @@
 			return []Finding{{"REFUSED", fmt.Sprintf("%s was answered %d and ran: %v", resp.ID, resp.Status, runs)}}
 		}
 	case 401, 403, 404:
-		if c.requests[resp.ID].Stable {
+		if q := c.requests[resp.ID]; q.Stable || c.inForce(q) {
 			return []Finding{{"DENIED", fmt.Sprintf("%s was answered %d with a valid key", resp.ID, resp.Status)}}
 		}
 	}
 	return nil
 }
 
+// revocationMargin is the time after a request was sent within which its key may be revoked before the answer.
+const revocationMargin = 3 * time.Second
+
+// inForce reports whether the key of a request had been granted for so long that a node may accept no older
+// configuration, and was not revoked before the answer.
+func (c *Checker) inForce(q Request) bool {
+	granted, ok := c.grantedAt[q.Key]
+	if !ok || q.At.Sub(granted) <= c.Bounds.KeyRevocation+c.Bounds.ClockError {
+		return false
+	}
+	revoked, ok := c.revokedAt[q.Key]
+	return !ok || revoked.After(q.At.Add(revocationMargin))
+}
+
 // Seal returns the signature that the soak's targets set in the response to a request.
 func Seal(id string) string { return "seal-" + id }
 
--- a/internal/soak/injector/injector.go
+++ b/internal/soak/injector/injector.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -31,14 +32,18 @@
 	StoreUnavailable  Kind = "store-refuses"
 	StoreUnresponsive Kind = "store-silent"
 	RevokeKey         Kind = "withdraw-key"
+	RestoreStore      Kind = "store-restored"
 )
 
-// kinds lists all kinds of faults. Plan draws each with the same probability.
-var kinds = []Kind{
+// BaseKinds are the kinds of faults that the recorded seeds draw from. A seed gives another plan with other kinds.
+var BaseKinds = []Kind{
 	KillNode, StopNode, FreezeNode, DrainTarget, CrashTarget, DropResponses, PeerLink, StoreLink, TargetLink,
 	StoreUnavailable, StoreUnresponsive, RevokeKey, KillAll,
 }
 
+// AllKinds lists all kinds of faults.
+var AllKinds = append(slices.Clone(BaseKinds), RestoreStore)
+
 var linkFaults = []relayer.Fault{relayer.Delay, relayer.Stall, relayer.OneWay, relayer.Reset}
 
 // Step is one fault of a plan.
@@ -65,10 +70,15 @@
 	// repeatProbability is the probability that a fault keeps the node of the previous fault. Otherwise its node is
 	// drawn at random.
 	repeatProbability = 0.3
+	// maxRewriteDelay is the maximum time after a restore of the store until the operator has written the lost records
+	// again.
+	maxRewriteDelay = time.Second
 )
 
-// Plan returns the faults that begin within the given period. The same arguments always give the same plan.
-func Plan(seed uint64, nodes int, period time.Duration) []Step {
+// Plan returns the faults that begin within the given period, drawn from the kinds with equal probability. The same
+// arguments always give the same plan. If the kinds include RestoreStore, the plan ends with a restore, since a later
+// change of the configuration would hide a lost one.
+func Plan(seed uint64, nodes int, period time.Duration, kinds []Kind) []Step {
 	rng := rand.New(rand.NewPCG(seed, 0))
 	var steps []Step
 	node := 0
@@ -81,12 +91,19 @@
 			Node: node,
 			Link: linkFaults[rng.IntN(len(linkFaults))],
 			At:   at,
-			For:  minDuration + time.Duration(rng.Int64N(int64(maxDuration-minDuration))),
+			For:  randomDuration(rng),
 		})
 	}
+	if slices.Contains(kinds, RestoreStore) {
+		steps = append(steps, Step{Kind: RestoreStore, At: period, For: randomDuration(rng)})
+	}
 	return steps
 }
 
+func randomDuration(rng *rand.Rand) time.Duration {
+	return minDuration + time.Duration(rng.Int64N(int64(maxDuration-minDuration)))
+}
+
 // Injector injects the faults of a plan into a fleet.
 type Injector struct {
 	Fleet *launcher.Fleet
@@ -155,7 +172,29 @@
 		inj.breakStore(storer.Faults{Hang: true}, s.For)
 	case RevokeKey:
 		inj.RevokeKey()
+	case RestoreStore:
+		inj.restoreStore(s.For)
+	}
+}
+
+// restoreStore takes the store away for up to a second and restores it from a copy that is up to four seconds older.
+// Keys are revoked before and while the store is away. Then either the operator writes the lost records again and
+// revokes a key, or it makes so many changes at once that they take up all lost offsets before a node reads again.
+func (inj *Injector) restoreStore(duration time.Duration) {
+	inj.RevokeKey()
+	time.Sleep(duration / 8)
+	copiedAt := time.Now().Add(-duration / 2)
+	inj.breakStore(storer.Faults{Hang: true}, duration/8)
+	lost := inj.Fleet.Store.Restore(copiedAt)
+	if duration%2 == 0 {
+		for range lost {
+			inj.RevokeKey()
+		}
+		return
 	}
+	time.Sleep(maxRewriteDelay * duration / maxDuration)
+	inj.Fleet.Store.WriteAgain(lost, copiedAt)
+	inj.RevokeKey()
 }
 
 // replaceTarget stops the target and then starts the next incarnation on the same address, which the old incarnation
--- a/internal/soak/injector/injector_test.go
+++ b/internal/soak/injector/injector_test.go
@@ -18,8 +18,8 @@
 	kinds := map[injector.Kind]bool{}
 	overlaps := 0
 	for seed := range uint64(20) {
-		steps := injector.Plan(seed, 5, 20*time.Second)
-		assert.DeepEqual(t, steps, injector.Plan(seed, 5, 20*time.Second))
+		steps := injector.Plan(seed, 5, 20*time.Second, injector.AllKinds)
+		assert.DeepEqual(t, steps, injector.Plan(seed, 5, 20*time.Second, injector.AllKinds))
 		for i, s := range steps {
 			kinds[s.Kind] = true
 			if i > 0 && steps[i-1].At+steps[i-1].For > s.At {
@@ -27,7 +27,7 @@
 			}
 		}
 	}
-	assert.Equal(t, len(kinds), 13)
+	assert.Equal(t, len(kinds), 14)
 	assert.Assert(t, overlaps > 100, "%d", overlaps)
 }
 
@@ -44,14 +44,14 @@
 		}
 		seed, err := strconv.ParseUint(strings.TrimSpace(text), 10, 64)
 		assert.NilError(t, err)
-		soak(t, &injector.Soak{Program: program, Seed: seed, Nodes: 4, FaultPeriod: 8 * time.Second}, cause)
+		soak(t, &injector.Soak{Program: program, Seed: seed, Nodes: 4, FaultPeriod: 8 * time.Second, Kinds: injector.BaseKinds}, cause)
 	}
 }
 
 // TestSeed303 repeats the seed with which a client account exceeded its rate limit: the store failed directly after
 // all nodes had been killed three times.
 func TestSeed303(t *testing.T) {
-	soak(t, &injector.Soak{Program: build(t), Seed: 303, Nodes: 5, FaultPeriod: 15 * time.Second}, "rate after an outage")
+	soak(t, &injector.Soak{Program: build(t), Seed: 303, Nodes: 5, FaultPeriod: 15 * time.Second, Kinds: injector.BaseKinds}, "rate after an outage")
 }
 
 // build compiles the node program and returns its path.
--- a/internal/soak/injector/soak.go
+++ b/internal/soak/injector/soak.go
@@ -48,15 +48,17 @@
 	Nodes     int
 	// FaultPeriod is the period in which faults begin.
 	FaultPeriod time.Duration
+	// Kinds are the kinds of faults that the plan draws from.
+	Kinds []Kind
 
 	checker checker.Checker
 	fleet   *launcher.Fleet
 
 	mu      sync.Mutex
 	version int
-	// keys holds the current key by client account, previousKey the previous key of rotatingAccount.
+	// keys holds the current key by client account, revokedKeys the previous keys of rotatingAccount.
 	keys        map[string]string
-	previousKey string
+	revokedKeys []string
 	reported    []checker.Finding
 }
 
@@ -75,7 +77,7 @@
 	s.checker.Bounds = launcher.Bounds()
 	s.checker.Limits = accountLimits
 	s.keys = map[string]string{unlimitedAccount: "key-open", limitedAccount: "key-bounded", rotatingAccount: "key-changing-0"}
-	s.previousKey = s.keys[rotatingAccount]
+	s.revokedKeys = []string{"key-never-granted"}
 	s.fleet = &launcher.Fleet{Program: s.Program, Directory: s.Directory, Nodes: s.Nodes, Checker: &s.checker}
 	defer s.fleet.Close()
 	if err := s.fleet.Open(); err != nil {
@@ -92,7 +94,7 @@
 			clients.Go(func() { s.runClient(loadCtx, i, account) })
 		}
 	}
-	steps := Plan(s.Seed, s.Nodes, s.FaultPeriod)
+	steps := Plan(s.Seed, s.Nodes, s.FaultPeriod, s.Kinds)
 	sleep(ctx, warmUpTime)
 	inj := &Injector{Fleet: s.fleet, Nodes: s.Nodes, RevokeKey: s.revokeKey, Report: s.report}
 	inj.Run(ctx, steps)
@@ -166,10 +168,13 @@
 func (s *Soak) revokeKey() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.previousKey = s.keys[rotatingAccount]
+	previous := s.keys[rotatingAccount]
 	s.keys[rotatingAccount] = fmt.Sprint("key-changing-", s.version)
 	s.writeConfig()
-	s.checker.RecordRevocation(s.previousKey, time.Now())
+	now := time.Now()
+	s.revokedKeys = append(s.revokedKeys, previous)
+	s.checker.RecordRevocation(previous, now)
+	s.checker.RecordGrant(s.keys[rotatingAccount], now)
 }
 
 func (s *Soak) awaitReady(ctx context.Context) error {
@@ -205,8 +210,11 @@
 			s.mu.Lock()
 			key := s.keys[account]
 			if n%4 == 0 && account == rotatingAccount {
-				// A quarter of the requests use the most recently revoked key.
-				key = s.previousKey
+				// A quarter of the requests use a revoked key: the latest one and any of them by turns.
+				key = s.revokedKeys[len(s.revokedKeys)-1]
+				if n%8 == 0 {
+					key = s.revokedKeys[rand.IntN(len(s.revokedKeys))]
+				}
 			}
 			s.mu.Unlock()
 			wg.Go(func() { s.sendRequest(context.WithoutCancel(ctx), client, node, account, key, n%2 == 0) })
--- a/internal/standin/storer/storer.go
+++ b/internal/standin/storer/storer.go
@@ -5,20 +5,33 @@
 	"encoding/binary"
 	"encoding/json"
 	"io"
+	"maps"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
+
+	"github.com/plantainwheel/plantainwheel/platform"
 )
 
 // Store holds keyed topics with one partition each. It is safe for concurrent use.
 type Store struct {
+	// PageSize is the maximum number of records in an answer to log-newest; 0 means no maximum. It is set before the
+	// first request.
+	PageSize int
+
 	mu     sync.Mutex
 	topics map[string]*topic
 	faults Faults
 	reads  int
+	// restores counts the calls of Restore.
+	restores int64
 }
 
+// firstEra is the era before the first restore.
+const firstEra = 1
+
 // Faults are the faults that the store injects. They can be changed while it runs.
 type Faults struct {
 	// Unavailable rejects every request with status 503.
@@ -32,12 +45,12 @@
 }
 
 type topic struct {
-	// first is the offset of records[0].
-	first   int64
+	// records holds all records since the topic was created, by offset. Those before first have expired.
 	records []record
+	first   int64
 	// newest holds the newest record of each key that is not deleted.
 	newest map[string]record
-	// changed is closed and replaced whenever a record is appended or the topic is compacted.
+	// changed is closed and replaced whenever the records change.
 	changed chan struct{}
 }
 
@@ -45,6 +58,42 @@
 	offset int64
 	key    string
 	value  []byte
+	at     time.Time
+}
+
+// end returns the offset after the last record.
+func (t *topic) end() int64 { return int64(len(t.records)) }
+
+// notify wakes the reads that wait for a change.
+func (t *topic) notify() {
+	close(t.changed)
+	t.changed = make(chan struct{})
+}
+
+// add appends a record.
+func (t *topic) add(r record) {
+	r.offset = t.end()
+	t.records = append(t.records, r)
+	t.newest[r.key] = r
+	if len(r.value) == 0 {
+		delete(t.newest, r.key)
+	}
+}
+
+// truncate drops the records that were appended after the given time and returns them.
+func (t *topic) truncate(at time.Time) []record {
+	n := slices.IndexFunc(t.records, func(r record) bool { return r.at.After(at) })
+	if n < 0 {
+		return nil
+	}
+	kept, lost := t.records[:n], slices.Clone(t.records[n:])
+	t.records = nil
+	t.newest = map[string]record{}
+	for _, r := range kept {
+		t.add(r)
+	}
+	t.first = min(t.first, t.end())
+	return lost
 }
 
 // SetFaults replaces the faults.
@@ -70,14 +119,48 @@
 
 func (s *Store) put(name, key string, value []byte) {
 	t := s.topic(name)
-	r := record{offset: t.first + int64(len(t.records)), key: key, value: value}
-	t.records = append(t.records, r)
-	t.newest[key] = r
-	if len(value) == 0 {
-		delete(t.newest, key)
+	t.add(record{key: key, value: value, at: time.Now()})
+	t.notify()
+}
+
+// Lost is a record of the operator that a restore has lost.
+type Lost struct {
+	Topic string
+	Key   string
+	Value []byte
+}
+
+// Restore replaces the contents by a copy made at the given time and begins a new era. Records appended since are
+// lost, and their offsets are given out again. Waiting reads are broken off. It returns the lost records of the
+// operator, for WriteAgain.
+func (s *Store) Restore(at time.Time) []Lost {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.restores++
+	var lost []Lost
+	for name, t := range s.topics {
+		for _, r := range t.truncate(at) {
+			if name == platform.ConfigTopic {
+				lost = append(lost, Lost{Topic: name, Key: r.key, Value: r.value})
+			}
+		}
+		t.notify()
+	}
+	return lost
+}
+
+// WriteAgain appends the lost records, except those whose key has been written since the given time of the loss.
+func (s *Store) WriteAgain(lost []Lost, lostAt time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	rewritten := map[string]bool{}
+	for _, l := range lost {
+		if s.topic(l.Topic).newest[l.Key].at.After(lostAt) && !rewritten[l.Key] {
+			continue
+		}
+		rewritten[l.Key] = true
+		s.put(l.Topic, l.Key, l.Value)
 	}
-	close(t.changed)
-	t.changed = make(chan struct{})
 }
 
 // Newest returns the newest value of a key, or nil if the key is absent or deleted.
@@ -92,10 +175,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t := s.topic(name)
-	t.first += int64(len(t.records))
-	t.records = nil
-	close(t.changed)
-	t.changed = make(chan struct{})
+	t.first = t.end()
+	t.notify()
 }
 
 // topic returns a topic and creates it on first use. The caller holds mu.
@@ -115,6 +196,7 @@
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	f := s.faults
+	w.Header().Set(platform.EraHeader, strconv.FormatInt(firstEra+s.restores, 10))
 	s.mu.Unlock()
 	switch {
 	case f.Hang:
@@ -133,7 +215,7 @@
 	case "/-/log-read":
 		s.read(w, r, name)
 	case "/-/log-newest":
-		s.writeNewest(w, name)
+		s.writeNewest(w, name, r.URL.Query().Get("after"))
 	default:
 		w.WriteHeader(http.StatusNotFound)
 	}
@@ -165,42 +247,39 @@
 	waitMS, _ := strconv.Atoi(r.URL.Query().Get("wait_ms"))
 	timeout := time.After(time.Duration(waitMS) * time.Millisecond)
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.reads++
-	for {
-		t := s.topic(name)
-		if from < t.first {
-			s.mu.Unlock()
-			w.WriteHeader(http.StatusGone)
-			return
-		}
-		if from < t.first+int64(len(t.records)) {
-			break
-		}
+	restores := s.restores
+	t := s.topic(name)
+	for waiting := true; waiting && from == t.end(); t = s.topic(name) {
 		changed := t.changed
 		s.mu.Unlock()
 		select {
 		case <-changed:
-			s.mu.Lock()
-			continue
 		case <-r.Context().Done():
-			panic(http.ErrAbortHandler)
 		case <-timeout:
+			waiting = false
 		}
 		s.mu.Lock()
-		break
+		if r.Context().Err() != nil || s.restores != restores {
+			panic(http.ErrAbortHandler)
+		}
 	}
-	t := s.topic(name)
-	raw := binary.BigEndian.AppendUint64(nil, uint64(t.first)+uint64(len(t.records)))
+	if from < t.first || from > t.end() {
+		w.WriteHeader(http.StatusGone)
+		return
+	}
+	raw := binary.BigEndian.AppendUint64(nil, uint64(t.end()))
 	raw = binary.BigEndian.AppendUint64(raw, uint64(t.first))
-	for _, rec := range t.records[min(max(from-t.first, 0), int64(len(t.records))):] {
+	for _, rec := range t.records[from:] {
 		raw = binary.BigEndian.AppendUint32(raw, uint32(1+len(rec.key)+len(rec.value)))
 		raw = append(append(append(raw, byte(len(rec.key))), rec.key...), rec.value...)
 	}
-	s.mu.Unlock()
 	_, _ = w.Write(raw)
 }
 
-func (s *Store) writeNewest(w http.ResponseWriter, name string) {
+// writeNewest writes the page of the newest records whose keys follow the given one.
+func (s *Store) writeNewest(w http.ResponseWriter, name, after string) {
 	type item struct {
 		Key    string `json:"key"`
 		Value  []byte `json:"value"`
@@ -210,8 +289,16 @@
 	defer s.mu.Unlock()
 	t := s.topic(name)
 	items := []item{}
-	for _, r := range t.newest {
-		items = append(items, item{r.key, r.value, r.offset})
+	more := false
+	for _, key := range slices.Sorted(maps.Keys(t.newest)) {
+		if after != "" && key <= after {
+			continue
+		}
+		if s.PageSize > 0 && len(items) == s.PageSize {
+			more = true
+			break
+		}
+		items = append(items, item{key, t.newest[key].value, t.newest[key].offset})
 	}
-	_ = json.NewEncoder(w).Encode(map[string]any{"items": items, "more": false, "end": t.first + int64(len(t.records))})
+	_ = json.NewEncoder(w).Encode(map[string]any{"items": items, "more": more, "end": t.end()})
 }
