Bind the read position to the store's era

What callers saw: a change that the store had acknowledged was not in force on a node. Cause: the position of a reader is an offset, and after a restore from a copy offsets are given out again. A node whose position lay in the reused range got no 410; it waited behind the records that it had never seen and took the empty answers as proof that no newer version exists.

A position is now valid in one era only. All topics share the latest era that any answer named, reads and writes alike; an answer of another era drops the position, a waiting read is broken off as soon as another call learns of the restore, an answer that is late from an earlier era is not used, and pages of log-newest of two eras are not one list.

--- a/internal/platform/watcher/costs.go
+++ b/internal/platform/watcher/costs.go
@@ -23,7 +23,7 @@
 // node's costs whenever they change, until ctx ends. Without the stored costs, a fleet that has lost all its nodes
 // admits more than its bottleneck service can handle until the costs are learned again.
 func (w *Watcher) SyncCosts(ctx context.Context) {
-	t := topic{store: w.Store, name: platform.CostTopic, log: w.Log, apply: w.applyCosts}
+	t := topic{store: w.Store, name: platform.CostTopic, log: w.Log, eras: w.storeEras(), apply: w.applyCosts}
 	if !t.read(ctx) {
 		return
 	}
@@ -62,7 +62,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, putTimeout)
 	defer cancel()
-	if err := w.Store.Put(ctx, platform.CostTopic, c.Node, raw); err != nil {
+	if err := w.put(ctx, platform.CostTopic, c.Node, raw); err != nil {
 		w.Log.Warn().Err(err).Msg("writing request costs failed")
 		return err
 	}
--- a/internal/platform/watcher/publish.go
+++ b/internal/platform/watcher/publish.go
@@ -125,7 +125,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, putTimeout)
 	defer cancel()
-	if err := w.Store.Put(ctx, platform.MemberTopic, m.Node, raw); err != nil {
+	if err := w.put(ctx, platform.MemberTopic, m.Node, raw); err != nil {
 		w.Log.Warn().Err(err).Str("state", string(m.State)).Msg("writing own member record failed")
 		return err
 	}
@@ -133,3 +133,13 @@
 	w.own.confirm(m)
 	return nil
 }
+
+// put writes a record and observes the era of the answer.
+func (w *Watcher) put(ctx context.Context, topic, key string, value []byte) error {
+	era, err := w.Store.Put(ctx, topic, key, value)
+	if err != nil {
+		return err
+	}
+	w.storeEras().observe(era)
+	return nil
+}
--- a/internal/platform/watcher/restore_test.go
+++ b/internal/platform/watcher/restore_test.go
@@ -3,9 +3,11 @@
 import (
 	"encoding/json"
 	"fmt"
+	"net/http"
 	"os"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -152,3 +154,30 @@
 		}
 	}
 }
+
+// TestRestoreBreaksOffWaitingReads checks that a read of the members that hangs on a silent connection is given up as
+// soon as the configuration's read has learned of a restore.
+func TestRestoreBreaksOffWaitingReads(t *testing.T) {
+	store := &storer.Store{}
+	var silent atomic.Bool
+	f := startBehind(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if silent.Load() && r.URL.Path == "/-/log-read" && r.URL.Query().Get("topic") == platform.MemberTopic {
+			<-r.Context().Done()
+			return
+		}
+		store.ServeHTTP(w, r)
+	}))
+	store.Put(platform.ConfigTopic, platform.ConfigKey, config(1))
+	f.eventually("first version", func() bool { return f.version() == 1 })
+	silent.Store(true)
+	store.Put(platform.MemberTopic, "x", []byte("{}"))
+	time.Sleep(50 * time.Millisecond)
+	copiedAt := time.Now()
+	store.Restore(copiedAt)
+	raw, err := json.Marshal(tracker.Member{Node: "a", Service: "x", State: tracker.Ready})
+	assert.NilError(t, err)
+	store.Put(platform.MemberTopic, "a", raw)
+	began := time.Now()
+	f.eventually("member written after the restore", func() bool { return len(f.tracker.OtherMembers()) == 1 })
+	assert.Assert(t, time.Since(began) < 2*time.Second, "%s", time.Since(began))
+}
--- a/internal/platform/watcher/watcher_test.go
+++ b/internal/platform/watcher/watcher_test.go
@@ -24,7 +24,6 @@
 
 type fixture struct {
 	t         *testing.T
-	store     *storer.Store
 	keeper    *keeper.Keeper
 	tracker   *tracker.Tracker
 	watcher   *watcher.Watcher
@@ -33,9 +32,15 @@
 }
 
 func start(t *testing.T, store *storer.Store) *fixture {
+	t.Helper()
+	return startBehind(t, store)
+}
+
+// startBehind starts a node whose calls of the store are served by the handler.
+func startBehind(t *testing.T, store http.Handler) *fixture {
 	t.Helper()
 	server := httptest.NewServer(store)
-	f := &fixture{t: t, store: store, ownMember: make(chan tracker.Member, 1), costs: make(chan tracker.NodeCosts, 4)}
+	f := &fixture{t: t, ownMember: make(chan tracker.Member, 1), costs: make(chan tracker.NodeCosts, 4)}
 	f.keeper = &keeper.Keeper{Decode: platform.DecodeConfig}
 	f.tracker = &tracker.Tracker{Self: "own", ReportTimeout: time.Minute}
 	f.watcher = &watcher.Watcher{
