Accept a restored store as proof only once it has settled

What callers saw: a key that had been withdrawn was accepted, or an older route was used, by a node that had started or lagged behind while the store was away. Cause (hypothesis 2): a read of the copy found nothing newer than the copy's version and confirmed that, although a newer version was acknowledged and gone. The operator writes it again, but no read can tell whether that has happened.

policy/settler decides from when on a read proves what is newest: config_apply_ms after the first answer of an era, or revoke_ms while the store is known to lack the version in force. A process that starts treats the first era that it sees like a new one; a small record in the members' topic, written once an era, tells it when another node has found the era settled, so that a restart of one or all nodes doesn't wait. Until then the age grows from the evidence of the former era, and other nodes are asked at once, since they may have the lost version. A configuration from another node is logged.

Settings must have config_apply_ms, which every deployment gives.

--- a/internal/caller/gateway/gateway_test.go
+++ b/internal/caller/gateway/gateway_test.go
@@ -75,7 +75,7 @@
 		tr.SetMember(tracker.Member{Node: fmt.Sprint("n", i), DataCentre: "dc", Service: "x", Target: "i", Slots: 10, State: tracker.Ready})
 	}
 	k := &keeper.Keeper{Decode: config}
-	_, err := k.Apply(nil)
+	_, _, err := k.Apply(nil)
 	assert.NilError(t, err)
 	k.Confirm(timekeeper.SinceBoot())
 	f.gateway = &gateway.Gateway{
--- a/internal/node/attendant/attendant.go
+++ b/internal/node/attendant/attendant.go
@@ -108,14 +108,16 @@
 	peers := forwarder.NewPool()
 	a.pools = []*transporter.Pool{targets, peers}
 	a.executor = executor.New(targets)
+	wake := make(chan struct{}, 1)
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: storeMaxIdleConns, IdleConnTimeout: 20 * time.Second}}
 	a.watcher = &watcher.Watcher{
 		Store: &platform.Store{Address: cfg.StoreAddress, HTTP: client}, Keeper: a.keeper, Tracker: a.tracker,
 		Log: a.Log, Self: cfg.Node, ConfigWait: configPollTimeout, OnOwnMember: a.restoreTarget,
-		OwnCosts: a.costRecord, OnStoredCosts: a.restoreCosts,
+		SettlePeriod: cfg.Bounds.ConfigApply, MaxSettlePeriod: cfg.Bounds.KeyRevocation,
+		OwnCosts: a.costRecord, OnStoredCosts: a.restoreCosts, OnEra: func() { notify(wake) },
 	}
 	a.poller = &adviser.Poller{
-		Keeper: a.keeper, Tracker: a.tracker, Log: a.Log, PollAfter: scale(cfg.Bounds.KeyRevocation, peerQueryShare),
+		Keeper: a.keeper, Tracker: a.tracker, Log: a.Log, PollAfter: scale(cfg.Bounds.KeyRevocation, peerQueryShare), Wake: wake,
 		HTTP: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: 5 * time.Second}},
 	}
 	a.gateway = a.newGateway(peers)
@@ -134,6 +136,14 @@
 	}
 }
 
+// notify sends a value unless one is pending.
+func notify(c chan<- struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
 // scale returns the given share of a duration.
 func scale(span time.Duration, share float64) time.Duration {
 	return time.Duration(share * float64(span))
@@ -167,7 +177,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	a.cancel = cancel
 	for _, run := range []func(context.Context){
-		a.watcher.FollowConfig, a.watcher.FollowMembers, a.watcher.PublishOwn, a.watcher.SyncCosts,
+		a.watcher.FollowConfig, a.watcher.FollowMembers, a.watcher.PublishOwn, a.watcher.SyncCosts, a.watcher.FollowEras,
 		a.reporter.Run, a.poller.Run, a.tick,
 	} {
 		a.background.Go(func() { run(ctx) })
--- a/internal/peer/adviser/adviser.go
+++ b/internal/peer/adviser/adviser.go
@@ -55,6 +55,9 @@
 	Log     *log.Logger
 	// PollAfter is the age of the configuration above which other nodes are queried.
 	PollAfter time.Duration
+	// Wake requests a query regardless of the age. It is sent a value when the store has been restored, because other
+	// nodes may know of a configuration that the store has lost.
+	Wake <-chan struct{}
 }
 
 // Run checks the age periodically until the context is done.
@@ -65,10 +68,12 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
-		}
-		if p.Keeper.Age(timekeeper.SinceBoot()) > p.PollAfter {
+		case <-p.Wake:
 			p.pollPeers(ctx)
+		case <-ticker.C:
+			if p.Keeper.Age(timekeeper.SinceBoot()) > p.PollAfter {
+				p.pollPeers(ctx)
+			}
 		}
 	}
 }
@@ -99,22 +104,26 @@
 	if err != nil {
 		return
 	}
-	if err := p.applyReply(sentAt, reply); err != nil {
+	applied, err := p.applyReply(sentAt, reply)
+	switch {
+	case err != nil:
 		p.Log.Warn().Err(err).Str("node", m.Node).Msg("rejected configuration received from peer")
+	case applied:
+		p.Log.Info().Str("from", m.Node).Uint64("version", reply.Version).Int64("age-ms", reply.AgeMs).Msg("configuration in force")
 	}
 }
 
 // applyReply applies the configuration in the reply if that is newer. If the version in force is then the one in
 // the reply, applyReply confirms it. The reported age counts back from the time at which the request was sent, because
-// the other node cannot have read the age before then.
-func (p *Poller) applyReply(sentAt time.Duration, reply *AdviseReply) error {
+// the other node cannot have read the age before then. It reports whether the configuration in force was replaced.
+func (p *Poller) applyReply(sentAt time.Duration, reply *AdviseReply) (applied bool, err error) {
 	if len(reply.Record) > 0 {
-		if _, err := p.Keeper.Apply(reply.Record); err != nil {
-			return fmt.Errorf("apply version %d: %w", reply.Version, err)
+		if _, applied, err = p.Keeper.Apply(reply.Record); err != nil {
+			return false, fmt.Errorf("apply version %d: %w", reply.Version, err)
 		}
 	}
 	if _, version := p.Keeper.Record(); version == reply.Version && version > 0 {
 		p.Keeper.Confirm(sentAt - time.Duration(reply.AgeMs)*time.Millisecond)
 	}
-	return nil
+	return applied, nil
 }
--- a/internal/peer/adviser/adviser_test.go
+++ b/internal/peer/adviser/adviser_test.go
@@ -30,7 +30,7 @@
 	t.Helper()
 	k := &keeper.Keeper{Decode: decode}
 	if version != "" {
-		_, err := k.Apply([]byte(version))
+		_, _, err := k.Apply([]byte(version))
 		assert.NilError(t, err)
 	}
 	k.Confirm(timekeeper.SinceBoot() - age)
@@ -76,3 +76,24 @@
 		})
 	}
 }
+
+// TestWake checks that a node whose configuration is recent asks its peers when it is woken, because the store may have
+// lost a version that only they have.
+func TestWake(t *testing.T) {
+	own := newKeeper(t, "v3", 0)
+	server := httptest.NewServer((&adviser.Server{Keeper: newKeeper(t, "v4", time.Second)}).Handler())
+	defer server.Close()
+	tr := &tracker.Tracker{Self: "own", ReportTimeout: time.Minute}
+	tr.SetMember(tracker.Member{Node: "other", ControlAddress: strings.TrimPrefix(server.URL, "http://")})
+	wake := make(chan struct{}, 1)
+	p := &adviser.Poller{
+		Keeper: own, Tracker: tr, HTTP: &http.Client{}, PollAfter: time.Minute, Wake: wake,
+		Log: &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}},
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 400*time.Millisecond)
+	defer cancel()
+	wake <- struct{}{}
+	p.Run(ctx)
+	_, version := own.Record()
+	assert.Equal(t, version, uint64(4))
+}
--- a/internal/platform/watcher/eras.go
+++ b/internal/platform/watcher/eras.go
@@ -3,22 +3,28 @@
 import (
 	"context"
 	"sync"
+	"time"
 
+	"github.com/plantainwheel/plantainwheel/internal/node/timekeeper"
+	"github.com/plantainwheel/plantainwheel/internal/policy/settler"
 	"github.com/plantainwheel/plantainwheel/platform"
 )
 
-// eras holds the latest era of the store that an answer has named. All topics share it, since they learn of a restore
-// at different times. It is safe for concurrent use. No other lock is acquired while its mutex is held.
+// eras tracks the eras of the store. All topics share it, since they learn of a restore at different times. It is safe
+// for concurrent use. No other lock is acquired while its mutex is held.
 type eras struct {
-	mu     sync.Mutex
-	latest platform.Era
+	mu      sync.Mutex
+	settler settler.Settler
+	latest  platform.Era
+	// vouched is set if another node has found the latest era settled.
+	vouched bool
 	// ended is cancelled when a later era begins.
 	ended context.Context
 	end   context.CancelFunc
 }
 
-func newEras() *eras {
-	e := &eras{latest: platform.NoEra}
+func newEras(period, maxPeriod time.Duration) *eras {
+	e := &eras{latest: platform.NoEra, settler: settler.Settler{Period: period, MaxPeriod: maxPeriod}}
 	e.ended, e.end = context.WithCancel(context.Background())
 	return e
 }
@@ -30,7 +36,8 @@
 	if era <= e.latest {
 		return era == e.latest
 	}
-	e.latest = era
+	e.settler.Observe(timekeeper.SinceBoot(), int64(era))
+	e.latest, e.vouched = era, false
 	e.end()
 	e.ended, e.end = context.WithCancel(context.Background())
 	return true
@@ -42,3 +49,38 @@
 	defer e.mu.Unlock()
 	return e.latest, e.ended
 }
+
+// vouch records that another node has found the era settled.
+func (e *eras) vouch(era platform.Era) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.settler.Vouch(timekeeper.SinceBoot(), int64(era))
+	e.vouched = e.vouched || era == e.latest
+}
+
+func (e *eras) isVouched() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.vouched
+}
+
+// setBehind records whether the store lacks a configuration that it has acknowledged.
+func (e *eras) setBehind(behind bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.settler.SetBehind(behind)
+}
+
+// proves reports whether a read that was sent at the given time and answered in the era proves what is newest.
+func (e *eras) proves(sentAt time.Duration, era platform.Era) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.settler.Proves(sentAt, int64(era))
+}
+
+// remaining returns the time until reads prove what is newest.
+func (e *eras) remaining() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.settler.Remaining(timekeeper.SinceBoot())
+}
--- a/internal/platform/watcher/restore_test.go
+++ b/internal/platform/watcher/restore_test.go
@@ -62,6 +62,7 @@
 //	known, unknown NODE   the member becomes known or unknown
 //	keep NODE TIME        the member stays known for the time
 //	confirmed             the configuration becomes confirmed after the restore
+//	confirmed-in TIME     the configuration becomes confirmed within the time
 //	unconfirmed TIME      the configuration is not confirmed after the restore for the time
 func (s *restoreScript) run(verb string, args []string) {
 	s.t.Helper()
@@ -112,6 +113,10 @@
 		s.always("member "+args[0], s.duration(args[1]), func() bool { return s.knows(args[0]) })
 	case "confirmed":
 		s.eventually("configuration confirmed", s.confirmed)
+	case "confirmed-in":
+		began := time.Now()
+		s.eventually("configuration confirmed", s.confirmed)
+		assert.Assert(s.t, time.Since(began) < s.duration(args[0]), "confirmed after %s", time.Since(began))
 	case "unconfirmed":
 		s.always("configuration not confirmed", s.duration(args[0]), func() bool { return !s.confirmed() })
 	default:
--- a/internal/platform/watcher/topic.go
+++ b/internal/platform/watcher/topic.go
@@ -28,9 +28,9 @@
 	log   *log.Logger
 	eras  *eras
 	// apply receives the records of each read and reports whether all of them could be applied. If so, onApplied
-	// receives the time at which the read was sent.
+	// receives the time at which the read was sent and the era of its answer.
 	apply     func([]platform.Record) bool
-	onApplied func(time.Duration)
+	onApplied func(sentAt time.Duration, era platform.Era)
 	// reset receives the existing keys each time the newest records have been read, before apply is called.
 	reset func(keys map[string]bool)
 
@@ -42,6 +42,8 @@
 	// restartedOnce is set once the newest records have been read.
 	restartedOnce bool
 	failing       bool
+	// immediate is set if the next read must not wait, because the latest one proved nothing.
+	immediate bool
 }
 
 // follow reads until ctx ends.
@@ -78,6 +80,21 @@
 		t.log.Info().Str("topic", t.name).Msg("store available again")
 	}
 	t.failing = err != nil
+	t.immediate = t.immediate || t.failing
+}
+
+// readWait returns how long the next read waits for new records. A read proves what is newest only if it is sent after
+// the store's era has settled, so an earlier one waits no longer than until then.
+func (t *topic) readWait() time.Duration {
+	if remaining := t.eras.remaining(); remaining > 0 {
+		t.immediate = true
+		return min(t.wait, remaining)
+	}
+	if t.immediate {
+		t.immediate = false
+		return 0
+	}
+	return t.wait
 }
 
 // readOnce reads the records from next on. If next is not an offset of the store's present era, or if the records have
@@ -88,10 +105,11 @@
 		return t.restart(ctx)
 	}
 	sentAt := timekeeper.SinceBoot()
-	ctx, cancel := context.WithTimeout(ctx, t.wait+readTimeoutMargin)
+	wait := t.readWait()
+	ctx, cancel := context.WithTimeout(ctx, wait+readTimeoutMargin)
 	defer cancel()
 	defer context.AfterFunc(ended, cancel)()
-	batch, err := t.store.Read(ctx, t.name, t.next, t.wait)
+	batch, err := t.store.Read(ctx, t.name, t.next, wait)
 	switch {
 	case errors.Is(err, platform.ErrExpired):
 		t.log.Info().Str("topic", t.name).Int64("next", t.next).Msg("records at the read position not available")
@@ -153,6 +171,6 @@
 // accept applies the records of a read that was sent at the given time.
 func (t *topic) accept(batch platform.Batch, sentAt time.Duration) {
 	if t.apply(batch.Records) && t.onApplied != nil {
-		t.onApplied(sentAt)
+		t.onApplied(sentAt, batch.Era)
 	}
 }
--- a/internal/platform/watcher/watcher.go
+++ b/internal/platform/watcher/watcher.go
@@ -11,6 +11,7 @@
 
 	"github.com/phuslu/log"
 	"github.com/plantainwheel/plantainwheel/internal/fleet/tracker"
+	"github.com/plantainwheel/plantainwheel/internal/node/timekeeper"
 	"github.com/plantainwheel/plantainwheel/internal/route/keeper"
 	"github.com/plantainwheel/plantainwheel/platform"
 )
@@ -38,23 +39,33 @@
 	// ConfigWait is how long a read of the configuration waits for a new record. While the store answers, it bounds
 	// the time since the configuration was last confirmed to be the newest.
 	ConfigWait time.Duration
+	// SettlePeriod is the time after a restore of the store within which lost records are written again.
+	// MaxSettlePeriod replaces it while the store has no configuration as new as the one in force.
+	SettlePeriod    time.Duration
+	MaxSettlePeriod time.Duration
 	// OnOwnMember receives this node's member record as stored when the node started.
 	OnOwnMember func(tracker.Member)
 	// OwnCosts returns the request costs that this node has learned for its target. OnStoredCosts receives the
 	// costs that a node had stored before this process started.
 	OwnCosts      func() tracker.NodeCosts
 	OnStoredCosts func(tracker.NodeCosts)
+	// OnEra is called when the store has answered in an era for the first time.
+	OnEra func()
 
 	erasOnce sync.Once
 	eras     *eras
 	own      ownRecord
-	// membersRead is set once the members have been read after the start.
-	membersRead atomic.Bool
+	// storedVersion is the version of the newest configuration in the store. Only FollowConfig uses it.
+	storedVersion uint64
+	// ownRestored is set once the members have been read after the start. Only FollowMembers uses it.
+	ownRestored bool
+	// membersKnown is set once the members have been read from a settled store after the start.
+	membersKnown atomic.Bool
 }
 
 // storeEras returns the eras of the store, which all topics share.
 func (w *Watcher) storeEras() *eras {
-	w.erasOnce.Do(func() { w.eras = newEras() })
+	w.erasOnce.Do(func() { w.eras = newEras(w.SettlePeriod, w.MaxSettlePeriod) })
 	return w.eras
 }
 
@@ -62,7 +73,7 @@
 func (w *Watcher) FollowConfig(ctx context.Context) {
 	t := topic{
 		store: w.Store, name: platform.ConfigTopic, wait: w.ConfigWait, log: w.Log, eras: w.storeEras(),
-		apply: w.applyConfig, onApplied: w.Keeper.Confirm,
+		apply: w.applyConfig, onApplied: w.confirmConfig, reset: func(map[string]bool) { w.storedVersion = 0 },
 	}
 	t.follow(ctx)
 }
@@ -75,25 +86,34 @@
 		if r.Key != platform.ConfigKey || len(r.Value) == 0 {
 			continue
 		}
-		applied, err := w.Keeper.Apply(r.Value)
+		version, applied, err := w.Keeper.Apply(r.Value)
 		complete = err == nil
 		if err != nil {
 			w.Log.Error().Err(err).Int64("offset", r.Offset).Msg("ignoring invalid configuration")
 			continue
 		}
+		w.storedVersion = version
 		if applied {
-			_, version := w.Keeper.Record()
 			w.Log.Info().Uint64("version", version).Int64("offset", r.Offset).Msg("configuration in force")
 		}
 	}
 	return complete
 }
 
+// confirmConfig confirms the configuration in force if the read proves that it is the newest.
+func (w *Watcher) confirmConfig(sentAt time.Duration, era platform.Era) {
+	_, inForce := w.Keeper.Record()
+	w.eras.setBehind(w.storedVersion < inForce)
+	if w.eras.proves(sentAt, era) {
+		w.Keeper.Confirm(sentAt)
+	}
+}
+
 // FollowMembers follows the members until ctx ends.
 func (w *Watcher) FollowMembers(ctx context.Context) {
 	t := topic{
 		store: w.Store, name: platform.MemberTopic, wait: memberReadWait, log: w.Log, eras: w.storeEras(),
-		apply: w.applyMembers, reset: w.dropMissingMembers,
+		apply: w.applyMembers, onApplied: w.confirmMembers, reset: w.dropMissingMembers,
 	}
 	t.follow(ctx)
 }
@@ -102,15 +122,26 @@
 	for _, r := range records {
 		w.applyMember(r)
 	}
-	w.membersRead.Store(true)
+	w.ownRestored = true
 	return true
 }
 
-// MembersKnown reports whether the members have been read since the start.
-func (w *Watcher) MembersKnown() bool { return w.membersRead.Load() }
+// confirmMembers records that the members are known if the store is settled when a read returns.
+func (w *Watcher) confirmMembers(_ time.Duration, era platform.Era) {
+	if w.eras.proves(timekeeper.SinceBoot(), era) {
+		w.membersKnown.Store(true)
+	}
+}
+
+// MembersKnown reports whether the members have been read from a settled store since the start.
+func (w *Watcher) MembersKnown() bool { return w.membersKnown.Load() }
 
 // applyMember applies one member record. An empty value removes the member.
 func (w *Watcher) applyMember(r platform.Record) {
+	if r.Key == settledKey {
+		w.applySettled(r)
+		return
+	}
 	if len(r.Value) == 0 {
 		w.Tracker.RemoveMember(r.Key)
 		return
@@ -121,7 +152,7 @@
 		return
 	}
 	if m.Node == w.Self {
-		if !w.membersRead.Load() {
+		if !w.ownRestored {
 			w.OnOwnMember(m)
 		}
 		w.own.observe(m)
--- a/internal/platform/watcher/watcher_test.go
+++ b/internal/platform/watcher/watcher_test.go
@@ -46,16 +46,18 @@
 	f.watcher = &watcher.Watcher{
 		Store:  &platform.Store{Address: strings.TrimPrefix(server.URL, "http://"), HTTP: &http.Client{}},
 		Keeper: f.keeper, Tracker: f.tracker, Self: "own", ConfigWait: 50 * time.Millisecond,
+		SettlePeriod: 400 * time.Millisecond, MaxSettlePeriod: time.Second,
 		Log:         &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}},
 		OnOwnMember: func(m tracker.Member) { f.ownMember <- m },
 		OwnCosts: func() tracker.NodeCosts {
 			return tracker.NodeCosts{Node: "own", Service: "x", RouteCosts: []tracker.RouteCosts{{Route: "r", HoldMs: 30, Calls: map[string]float32{"c": 4}}}}
 		},
 		OnStoredCosts: func(c tracker.NodeCosts) { f.costs <- c },
+		OnEra:         func() {},
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
-	for _, run := range []func(context.Context){f.watcher.FollowConfig, f.watcher.FollowMembers, f.watcher.PublishOwn, f.watcher.SyncCosts} {
+	for _, run := range []func(context.Context){f.watcher.FollowConfig, f.watcher.FollowMembers, f.watcher.PublishOwn, f.watcher.SyncCosts, f.watcher.FollowEras} {
 		wg.Go(func() { run(ctx) })
 	}
 	t.Cleanup(func() {
--- a/internal/route/keeper/keeper.go
+++ b/internal/route/keeper/keeper.go
@@ -27,19 +27,20 @@
 	raw   []byte
 }
 
-// Apply replaces the configuration if the given one is newer, and reports whether it did.
-func (k *Keeper) Apply(raw []byte) (bool, error) {
+// Apply replaces the configuration if the given one is newer. It returns the version of the given one and whether it
+// did.
+func (k *Keeper) Apply(raw []byte) (version uint64, applied bool, err error) {
 	c, err := k.Decode(raw)
 	if err != nil {
-		return false, err
+		return 0, false, err
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if current := k.state.Load(); current != nil && current.table.Config.Version >= c.Version {
-		return false, nil
+		return c.Version, false, nil
 	}
 	k.state.Store(&state{table: matcher.NewTable(c), raw: raw})
-	return true, nil
+	return c.Version, true, nil
 }
 
 // Confirm records that no newer configuration existed at the given time. The time must be when the query was sent,
--- a/internal/route/keeper/keeper_test.go
+++ b/internal/route/keeper/keeper_test.go
@@ -34,7 +34,7 @@
 	}{
 		{"v3", true, false, 3}, {"v2", false, false, 3}, {"v3", false, false, 3}, {"junk", false, true, 3}, {"v9", true, false, 9}, {"v4", false, false, 9},
 	} {
-		applied, err := k.Apply([]byte(c.raw))
+		_, applied, err := k.Apply([]byte(c.raw))
 		assert.Equal(t, applied, c.applied, c.raw)
 		assert.Equal(t, errors.Is(err, errInvalid), c.invalid, c.raw)
 		_, version := k.Record()
--- a/internal/soak/launcher/launcher.go
+++ b/internal/soak/launcher/launcher.go
@@ -37,6 +37,7 @@
 	drainTime         = 2 * time.Second
 	gracePeriod       = 6 * time.Second
 	revocationTime    = 5 * time.Second
+	configApplyTime   = 2 * time.Second
 	rateWindow        = 5 * time.Second
 	retryBudgetRatio  = 0.2
 	retryBudgetExtra  = 50
@@ -226,6 +227,7 @@
 drain_ms = %d
 grace_s = %g
 revoke_ms = %d
+config_apply_ms = %d
 budget_ratio = %g
 budget_window_s = %g
 budget_extra = %d
@@ -233,7 +235,7 @@
 `, n.name, n.ip, n.dataCentre, relayAddress(n.address(targetPort)), service,
 		n.ports[firstRangePort], n.ports[lastRangePort],
 		n.address(inboundPort), n.address(outboundPort), n.address(readyPort), n.address(announcePort),
-		n.StoreRelay.Listen, drainTime.Milliseconds(), gracePeriod.Seconds(), revocationTime.Milliseconds(),
+		n.StoreRelay.Listen, drainTime.Milliseconds(), gracePeriod.Seconds(), revocationTime.Milliseconds(), configApplyTime.Milliseconds(),
 		retryBudgetRatio, retryBudgetWindow.Seconds(), retryBudgetExtra, rateWindow.Seconds())
 }
 
