Write own records again that a restored store has lost

Cause: a node took its member record for stored once it had been read back or acknowledged. A copy without it left it unwritten for good: reading the newest records told only of keys that exist. So other nodes lost the target, and the promise that a target leaves, which must outlive a restart of the node, was gone although acknowledged. The learned costs had the same fault: they were written on change only.

Now a missing own key counts as not stored, and a new era makes the costs unwritten.

--- a/internal/platform/watcher/costs.go
+++ b/internal/platform/watcher/costs.go
@@ -28,12 +28,17 @@
 		return
 	}
 	var stored []tracker.RouteCosts
+	_, ended := w.eras.current()
 	ticker := time.NewTicker(costsCheckInterval)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
+		case <-ended.Done():
+			// The store may have lost the costs.
+			stored = nil
+			_, ended = w.eras.current()
 		case <-ticker.C:
 			own := w.OwnCosts()
 			if changed(stored, own.RouteCosts) && w.putCosts(ctx, own) == nil {
--- a/internal/platform/watcher/restore_test.go
+++ b/internal/platform/watcher/restore_test.go
@@ -59,6 +59,7 @@
 //	pause TIME            waits
 //	version N             the version in force becomes N
 //	stored STATE          the node's own record in the store gets the state
+//	costs                 the node's costs get into the store
 //	known, unknown NODE   the member becomes known or unknown
 //	keep NODE TIME        the member stays known for the time
 //	confirmed             the configuration becomes confirmed after the restore
@@ -107,6 +108,8 @@
 			var m tracker.Member
 			return json.Unmarshal(s.store.Newest(platform.MemberTopic, "own"), &m) == nil && m.State == tracker.State(args[0])
 		})
+	case "costs":
+		s.eventuallyIn(8*time.Second, "costs stored", func() bool { return len(s.store.Newest(platform.CostTopic, "own")) > 0 })
 	case "known", "unknown":
 		s.eventually(verb+" "+args[0], func() bool { return s.knows(args[0]) == (verb == "known") })
 	case "keep":
--- a/internal/platform/watcher/watcher.go
+++ b/internal/platform/watcher/watcher.go
@@ -113,7 +113,7 @@
 func (w *Watcher) FollowMembers(ctx context.Context) {
 	t := topic{
 		store: w.Store, name: platform.MemberTopic, wait: memberReadWait, log: w.Log, eras: w.storeEras(),
-		apply: w.applyMembers, onApplied: w.confirmMembers, reset: w.dropMissingMembers,
+		apply: w.applyMembers, onApplied: w.confirmMembers, reset: w.forgetMissingOwn,
 	}
 	t.follow(ctx)
 }
@@ -161,6 +161,14 @@
 	w.Tracker.SetMember(m)
 }
 
+// forgetMissingOwn forgets the stored version of this node's record if the store has none, so that it is written again.
+func (w *Watcher) forgetMissingOwn(keys map[string]bool) {
+	if !keys[w.Self] {
+		w.own.observe(tracker.Member{})
+	}
+	w.dropMissingMembers(keys)
+}
+
 // dropMissingMembers removes the other members that have no record in the store.
 func (w *Watcher) dropMissingMembers(keys map[string]bool) {
 	for _, m := range w.Tracker.OtherMembers() {
--- a/internal/platform/watcher/watcher_test.go
+++ b/internal/platform/watcher/watcher_test.go
@@ -80,12 +80,17 @@
 
 func (f *fixture) eventually(what string, done func() bool) {
 	f.t.Helper()
-	for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+	f.eventuallyIn(5*time.Second, what, done)
+}
+
+func (f *fixture) eventuallyIn(period time.Duration, what string, done func() bool) {
+	f.t.Helper()
+	for end := time.Now().Add(period); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
 		if done() {
 			return
 		}
 	}
-	f.t.Fatalf("condition not met within 5 s: %s", what)
+	f.t.Fatalf("condition not met within %s: %s", period, what)
 }
 
 // TestConfiguration checks that the newest configuration is applied after records of other keys, a compaction,
