Keep members that a restored store lacks until it has settled

Cause: a member without a record among the newest ones was removed at once. After a restore that is every node whose record was written since the copy: it got no requests and its reports were dropped as those of a stranger. Fewer members and no account usages make each node take a larger share of every client account's rate (QUOTA), and a node that started on the copy counted itself alone.

Members without a record are now removed when the era has settled, and the number of nodes that share the rates is known only then. Nodes spread their calls after a restore over 1 ms for each member and pause at random after a failed read, so that they do not call together.

--- a/internal/platform/watcher/restore_test.go
+++ b/internal/platform/watcher/restore_test.go
@@ -61,6 +61,8 @@
 //	stored STATE          the node's own record in the store gets the state
 //	costs                 the node's costs get into the store
 //	known, unknown NODE   the member becomes known or unknown
+//	counted               the number of members becomes known
+//	uncounted TIME        the number of members is not known for the time
 //	keep NODE TIME        the member stays known for the time
 //	confirmed             the configuration becomes confirmed after the restore
 //	confirmed-in TIME     the configuration becomes confirmed within the time
@@ -112,6 +114,10 @@
 		s.eventuallyIn(8*time.Second, "costs stored", func() bool { return len(s.store.Newest(platform.CostTopic, "own")) > 0 })
 	case "known", "unknown":
 		s.eventually(verb+" "+args[0], func() bool { return s.knows(args[0]) == (verb == "known") })
+	case "counted":
+		s.eventually("members counted", s.watcher.MembersKnown)
+	case "uncounted":
+		s.always("members not counted", s.duration(args[0]), func() bool { return !s.watcher.MembersKnown() })
 	case "keep":
 		s.always("member "+args[0], s.duration(args[1]), func() bool { return s.knows(args[0]) })
 	case "confirmed":
--- a/internal/platform/watcher/settled.go
+++ b/internal/platform/watcher/settled.go
@@ -49,7 +49,7 @@
 
 // shareEra waits until the era has settled and writes the record. It returns early if the era ends.
 func (w *Watcher) shareEra(ctx, ended context.Context, era platform.Era) {
-	spread := time.Duration(len(w.Tracker.OtherMembers())+1) * settledSpread
+	spread := w.spread(settledSpread)
 	for pause := rand.N(spread); ctx.Err() == nil && ended.Err() == nil && !w.eras.isVouched(); pause = rand.N(spread) + putRetryDelay {
 		select {
 		case <-ctx.Done():
--- a/internal/platform/watcher/topic.go
+++ b/internal/platform/watcher/topic.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"time"
 
 	"github.com/phuslu/log"
@@ -15,7 +16,8 @@
 	readTimeoutMargin = 900 * time.Millisecond
 	// newestTimeout is the timeout of a read of the newest records.
 	newestTimeout = 2500 * time.Millisecond
-	// minRetryDelay and maxRetryDelay bound the pause after a failed read. The pause doubles with each failure.
+	// minRetryDelay and maxRetryDelay bound the mean pause after a failed read. The pause doubles with each failure and
+	// is random, so that nodes that failed together do not call together.
 	minRetryDelay = 100 * time.Millisecond
 	maxRetryDelay = 800 * time.Millisecond
 )
@@ -33,6 +35,8 @@
 	onApplied func(sentAt time.Duration, era platform.Era)
 	// reset receives the existing keys each time the newest records have been read, before apply is called.
 	reset func(keys map[string]bool)
+	// restartSpread, if set, returns the time over which nodes spread their reads of the newest records after a restore.
+	restartSpread func() time.Duration
 
 	// next is the offset of the next read. It is valid only in era.
 	next int64
@@ -64,7 +68,7 @@
 		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(pause):
+		case <-time.After(pause/2 + rand.N(pause)):
 		}
 		pause = min(2*pause, maxRetryDelay)
 	}
@@ -140,6 +144,9 @@
 
 // restart reads the newest record of each key.
 func (t *topic) restart(ctx context.Context) error {
+	if era, _ := t.eras.current(); t.restartedOnce && t.era != era && t.restartSpread != nil {
+		time.Sleep(rand.N(t.restartSpread()))
+	}
 	sentAt := timekeeper.SinceBoot()
 	ctx, cancel := context.WithTimeout(ctx, newestTimeout)
 	defer cancel()
--- a/internal/platform/watcher/watcher.go
+++ b/internal/platform/watcher/watcher.go
@@ -19,6 +19,9 @@
 const (
 	// memberReadWait is how long a read of the members waits for new records.
 	memberReadWait = 10 * time.Second
+	// restartSpread is multiplied by the number of members to obtain the time over which nodes spread the calls that each
+	// of them makes after a restore of the store.
+	restartSpread = time.Millisecond
 )
 
 // Store is the part of the platform's store that the watcher uses.
@@ -59,10 +62,18 @@
 	storedVersion uint64
 	// ownRestored is set once the members have been read after the start. Only FollowMembers uses it.
 	ownRestored bool
+	// stored holds the keys in the members' topic from the time when the newest records were read until the store has
+	// settled. Only FollowMembers uses it.
+	stored map[string]bool
 	// membersKnown is set once the members have been read from a settled store after the start.
 	membersKnown atomic.Bool
 }
 
+// spread returns the time over which the nodes of the fleet spread calls, given the time for each node.
+func (w *Watcher) spread(perNode time.Duration) time.Duration {
+	return time.Duration(len(w.Tracker.OtherMembers())+1) * perNode
+}
+
 // storeEras returns the eras of the store, which all topics share.
 func (w *Watcher) storeEras() *eras {
 	w.erasOnce.Do(func() { w.eras = newEras(w.SettlePeriod, w.MaxSettlePeriod) })
@@ -113,7 +124,8 @@
 func (w *Watcher) FollowMembers(ctx context.Context) {
 	t := topic{
 		store: w.Store, name: platform.MemberTopic, wait: memberReadWait, log: w.Log, eras: w.storeEras(),
-		apply: w.applyMembers, onApplied: w.confirmMembers, reset: w.forgetMissingOwn,
+		apply: w.applyMembers, onApplied: w.confirmMembers, reset: w.resetMembers,
+		restartSpread: func() time.Duration { return w.spread(restartSpread) },
 	}
 	t.follow(ctx)
 }
@@ -126,10 +138,16 @@
 	return true
 }
 
-// confirmMembers records that the members are known if the store is settled when a read returns.
+// confirmMembers records that the members are known if the store is settled when a read returns, and removes those
+// that have no record.
 func (w *Watcher) confirmMembers(_ time.Duration, era platform.Era) {
-	if w.eras.proves(timekeeper.SinceBoot(), era) {
-		w.membersKnown.Store(true)
+	if !w.eras.proves(timekeeper.SinceBoot(), era) {
+		return
+	}
+	w.membersKnown.Store(true)
+	if w.stored != nil {
+		w.dropMissingMembers(w.stored)
+		w.stored = nil
 	}
 }
 
@@ -138,6 +156,9 @@
 
 // applyMember applies one member record. An empty value removes the member.
 func (w *Watcher) applyMember(r platform.Record) {
+	if w.stored != nil {
+		w.stored[r.Key] = len(r.Value) > 0
+	}
 	if r.Key == settledKey {
 		w.applySettled(r)
 		return
@@ -161,12 +182,13 @@
 	w.Tracker.SetMember(m)
 }
 
-// forgetMissingOwn forgets the stored version of this node's record if the store has none, so that it is written again.
-func (w *Watcher) forgetMissingOwn(keys map[string]bool) {
+// resetMembers receives the keys of the newest records. Members without one are removed only when the store has
+// settled, since until then they may have lost their records. This node's own record is written again at once.
+func (w *Watcher) resetMembers(keys map[string]bool) {
 	if !keys[w.Self] {
 		w.own.observe(tracker.Member{})
 	}
-	w.dropMissingMembers(keys)
+	w.stored = keys
 }
 
 // dropMissingMembers removes the other members that have no record in the store.
