--- a/internal/soak/checker/checker.go
+++ b/internal/soak/checker/checker.go
@@ -19,6 +19,8 @@
 	Once bool
 	// Stable reports whether the key of the account is valid throughout the soak run.
 	Stable bool
+	// Node is the index of the node that received the request from the client.
+	Node int
 	// At is the time the request was sent.
 	At time.Time
 }
@@ -61,6 +63,8 @@
 	Window time.Duration
 	Excess float64
 	Slack  float64
+	// Contact is the time after which a target's limit must be kept.
+	Contact time.Duration
 	// ClockError is the tolerated error of the recorded times, which are all taken on one loaded machine.
 	ClockError time.Duration
 }
@@ -85,6 +89,7 @@
 	grantedAt     map[string]time.Time
 	revokedAt     map[string]time.Time
 	drainingSince map[string]time.Time
+	targets       targetRecords
 }
 
 // RecordRequest records a request. It is called before the request is sent.
@@ -182,6 +187,7 @@
 	for _, resp := range c.responses {
 		findings = append(findings, c.checkResponse(resp, runsByID[resp.ID])...)
 	}
+	findings = append(findings, c.checkTargets()...)
 	for account, limit := range c.Limits {
 		findings = append(findings, c.checkRate(account, limit)...)
 	}
--- a/internal/soak/checker/checker_test.go
+++ b/internal/soak/checker/checker_test.go
@@ -42,6 +42,15 @@
 		{"run after the revocation time", func(c *checker.Checker) { c.RecordRevocation("k", at(-6)); c.RecordRun(run) }, "CONFIG"},
 		{"run within the drain time", func(c *checker.Checker) { c.RecordDrain("i", at(-1)); c.RecordRun(run) }, ""},
 		{"run after the drain time", func(c *checker.Checker) { c.RecordDrain("i", at(-3)); c.RecordRun(run) }, "DRAIN"},
+		{"key denied that was just granted", func(c *checker.Checker) { granted(c, at(-4)) }, ""},
+		{"key denied that was granted long ago", func(c *checker.Checker) { granted(c, at(-6)) }, "DENIED"},
+		{"key denied that was revoked meanwhile", func(c *checker.Checker) { granted(c, at(-6)); c.RecordRevocation("new", at(1)) }, ""},
+		{"at the target's limit", func(c *checker.Checker) { arrive(c, 17, at(4)) }, ""},
+		{"over the target's limit", func(c *checker.Checker) { arrive(c, 18, at(4)) }, "LIMIT"},
+		{"over the limit just after it was named", func(c *checker.Checker) { arrive(c, 18, at(1)) }, ""},
+		{"over the limit from a node that was restarted", func(c *checker.Checker) { c.RecordDisturbance(0); arrive(c, 18, at(4)) }, ""},
+		{"at a leaving target", func(c *checker.Checker) { c.RecordTold(0, "i", false, true, at(-1)); c.RecordArrival("1", "i", t0) }, ""},
+		{"at a target that left", func(c *checker.Checker) { c.RecordTold(0, "i", false, true, at(-3)); c.RecordArrival("1", "i", t0) }, "DRAIN"},
 		{"at its rate", func(c *checker.Checker) { flood(c, 42, t0) }, ""},
 		{"over its rate", func(c *checker.Checker) { flood(c, 43, t0) }, "QUOTA"},
 		{"sent before the window and run in it", func(c *checker.Checker) {
@@ -51,10 +60,12 @@
 		}, ""},
 	} {
 		c := &checker.Checker{
-			Bounds: checker.Bounds{KeyRevocation: 5 * time.Second, Drain: 2 * time.Second, Window: 5 * time.Second, Excess: 0.1, Slack: 20},
+			Bounds: checker.Bounds{KeyRevocation: 5 * time.Second, Drain: 2 * time.Second, Window: 5 * time.Second, Excess: 0.1, Slack: 20, Contact: 3 * time.Second},
 			Limits: map[string]checker.Limit{"shop": {Rate: 2, Burst: 10}},
 		}
 		c.RecordRequest(order)
+		c.RecordTold(0, "i", true, false, t0)
+		c.RecordLimit("i", 2, t0)
 		tc.do(c)
 		found := c.Check()
 		if tc.want == "" {
@@ -74,3 +85,20 @@
 		c.RecordRun(checker.Run{ID: id, Account: "shop", Body: id, At: sent.Add(10 * time.Millisecond)})
 	}
 }
+
+// granted records that the key "new" was granted at the given time and refused at the time of the requests.
+func granted(c *checker.Checker, at time.Time) {
+	c.RecordGrant("new", at)
+	c.RecordRequest(checker.Request{ID: "new", Account: "shop", Key: "new", At: time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)})
+	c.RecordResponse(checker.Response{ID: "new", Status: 401})
+}
+
+// arrive records n requests that reach the instance "i" 100 ms apart from the given time on.
+func arrive(c *checker.Checker, n int, at time.Time) {
+	for k := range n {
+		id := fmt.Sprint("a", k)
+		sent := at.Add(time.Duration(k) * 100 * time.Millisecond)
+		c.RecordRequest(checker.Request{ID: id, Account: "other", At: sent})
+		c.RecordArrival(id, "i", sent)
+	}
+}
--- a/internal/soak/injector/injector.go
+++ b/internal/soak/injector/injector.go
@@ -33,6 +33,8 @@
 	StoreUnresponsive Kind = "store-silent"
 	RevokeKey         Kind = "withdraw-key"
 	RestoreStore      Kind = "store-restored"
+	LimitTarget       Kind = "target-limit"
+	LeaveTarget       Kind = "target-leaves"
 )
 
 // BaseKinds are the kinds of faults that the recorded seeds draw from. A seed gives another plan with other kinds.
@@ -42,7 +44,10 @@
 }
 
 // AllKinds lists all kinds of faults.
-var AllKinds = append(slices.Clone(BaseKinds), RestoreStore)
+var AllKinds = append(slices.Clone(BaseKinds), RestoreStore, LimitTarget, LeaveTarget)
+
+// nodeKinds lists the faults that may keep one node from acting on what it has learned.
+var nodeKinds = []Kind{KillNode, StopNode, FreezeNode, PeerLink, StoreLink, TargetLink}
 
 var linkFaults = []relayer.Fault{relayer.Delay, relayer.Stall, relayer.OneWay, relayer.Reset}
 
@@ -73,6 +78,10 @@
 	// maxRewriteDelay is the maximum time after a restore of the store until the operator has written the lost records
 	// again.
 	maxRewriteDelay = time.Second
+	// minLimitTime is added to the duration of a target's limit, which is checked only some seconds after it was named.
+	minLimitTime = 6 * time.Second
+	// maxLimit is the highest limit that a target names, in requests per second.
+	maxLimit = 12
 )
 
 // Plan returns the faults that begin within the given period, drawn from the kinds with equal probability. The same
@@ -112,6 +121,8 @@
 	RevokeKey func()
 	// Report receives the violated guarantees that the injector itself detects.
 	Report func(rule, text string)
+	// Disturbed receives the index of a node whenever a fault of the node or of its links begins or ends.
+	Disturbed func(node int)
 }
 
 // Run injects each fault at its time and returns when all faults have ended. It injects no further faults after ctx
@@ -131,6 +142,10 @@
 }
 
 func (inj *Injector) inject(s Step) {
+	if slices.Contains(nodeKinds, s.Kind) {
+		inj.Disturbed(s.Node)
+		defer inj.Disturbed(s.Node)
+	}
 	n := inj.Fleet.Node(s.Node)
 	switch s.Kind {
 	case KillNode:
@@ -150,7 +165,7 @@
 		n.Resume()
 	case KillAll:
 		inj.killAll(s.For / 4)
-	case DrainTarget, CrashTarget:
+	case DrainTarget, CrashTarget, LeaveTarget:
 		inj.replaceTarget(n, s)
 	case DropResponses:
 		n.DropResponses(true)
@@ -174,6 +189,10 @@
 		inj.RevokeKey()
 	case RestoreStore:
 		inj.restoreStore(s.For)
+	case LimitTarget:
+		n.LimitTarget(float64(1 + s.For%maxLimit))
+		time.Sleep(s.For + minLimitTime)
+		n.LimitTarget(0)
 	}
 }
 
@@ -202,9 +221,12 @@
 func (inj *Injector) replaceTarget(n *launcher.Node, s Step) {
 	n.ReplaceMu.Lock()
 	defer n.ReplaceMu.Unlock()
-	if s.Kind == DrainTarget {
+	switch s.Kind {
+	case DrainTarget:
 		n.DrainTarget()
-	} else {
+	case LeaveTarget:
+		n.LeaveTarget()
+	default:
 		n.CrashTarget()
 		time.Sleep(s.For / 2)
 	}
@@ -233,6 +255,7 @@
 	}
 	time.Sleep(downtime)
 	for i := range inj.Nodes {
+		inj.Disturbed(i)
 		inj.startNode(inj.Fleet.Node(i))
 	}
 }
--- a/internal/soak/injector/soak.go
+++ b/internal/soak/injector/soak.go
@@ -96,7 +96,7 @@
 	}
 	steps := Plan(s.Seed, s.Nodes, s.FaultPeriod, s.Kinds)
 	sleep(ctx, warmUpTime)
-	inj := &Injector{Fleet: s.fleet, Nodes: s.Nodes, RevokeKey: s.revokeKey, Report: s.report}
+	inj := &Injector{Fleet: s.fleet, Nodes: s.Nodes, RevokeKey: s.revokeKey, Report: s.report, Disturbed: s.checker.RecordDisturbance}
 	inj.Run(ctx, steps)
 	s.restore()
 	sleep(ctx, recoveryTime)
@@ -121,6 +121,7 @@
 		n := s.fleet.Node(i)
 		n.Resume()
 		n.DropResponses(false)
+		n.LimitTarget(0)
 		for _, err := range []error{n.Start(), n.StartTarget()} {
 			if err != nil {
 				s.report("START", err.Error())
@@ -240,12 +241,14 @@
 	r.Header.Set(platform.RequestIDHeader, id)
 	r.Header.Set(platform.DeadlineHeader, fmt.Sprint(routeTimeout.Milliseconds()))
 	r.Header.Set(platform.AuthorizationHeader, platform.BearerPrefix+key)
-	s.checker.RecordRequest(checker.Request{ID: id, Account: account, Key: key, Once: nonIdempotent, Stable: account != rotatingAccount, At: time.Now()})
+	s.checker.RecordRequest(checker.Request{ID: id, Account: account, Key: key, Once: nonIdempotent, Stable: account != rotatingAccount, Node: node, At: time.Now()})
 	response := checker.Response{ID: id}
 	resp, err := client.Do(r)
 	if err == nil {
 		response.Status = resp.StatusCode
 		response.Seal = resp.Header.Get(platform.SignatureHeader)
+		s.checker.RecordTold(node, resp.Header.Get(launcher.InstanceHeader), resp.Header.Get(platform.LimitHeader) != "",
+			resp.Header.Get(platform.LeavingHeader) != "", time.Now())
 		raw, err := io.ReadAll(resp.Body)
 		_ = resp.Body.Close()
 		response.Body = string(raw)
--- a/internal/soak/launcher/launcher.go
+++ b/internal/soak/launcher/launcher.go
@@ -38,6 +38,7 @@
 	gracePeriod       = 6 * time.Second
 	revocationTime    = 5 * time.Second
 	configApplyTime   = 2 * time.Second
+	contactTime       = 3 * time.Second
 	rateWindow        = 5 * time.Second
 	retryBudgetRatio  = 0.2
 	retryBudgetExtra  = 50
@@ -46,7 +47,10 @@
 
 // Bounds returns the bounds that the fleet must keep.
 func Bounds() checker.Bounds {
-	return checker.Bounds{KeyRevocation: revocationTime, Drain: drainTime, Window: rateWindow, Excess: 0.1, Slack: 20, ClockError: 100 * time.Millisecond}
+	return checker.Bounds{
+		KeyRevocation: revocationTime, Drain: drainTime, Window: rateWindow, Excess: 0.1, Slack: 20,
+		Contact: contactTime, ClockError: 100 * time.Millisecond,
+	}
 }
 
 // Fleet is a set of nodes with their targets and a shared store. Its exported fields, except Store, are set before
@@ -375,6 +379,22 @@
 	}
 }
 
+// LeaveTarget makes the target leave without an announcement.
+func (n *Node) LeaveTarget() {
+	if t := n.detachTarget(); t != nil {
+		t.leave(drainTime)
+	}
+}
+
+// LimitTarget sets the limit that the running target names in its responses; 0 lifts it.
+func (n *Node) LimitTarget(limit float64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.target != nil {
+		n.target.setLimit(limit)
+	}
+}
+
 // DropResponses sets whether the running target drops half of its responses.
 func (n *Node) DropResponses(on bool) {
 	n.mu.Lock()
--- a/internal/soak/launcher/target.go
+++ b/internal/soak/launcher/target.go
@@ -28,6 +28,9 @@
 	heartbeatTimeout  = time.Second
 )
 
+// InstanceHeader holds the ID of the incarnation that produced a response.
+const InstanceHeader = "Soak-Instance"
+
 // target is one incarnation of a target.
 type target struct {
 	id          string
@@ -37,9 +40,13 @@
 	server      *http.Server
 	// dropResponses makes the target drop half of its responses after the request has run.
 	dropResponses atomic.Bool
+	// leaving makes the target say in its responses that it leaves.
+	leaving atomic.Bool
 
 	mu       sync.Mutex
 	sequence int
+	// limit is the limit in requests per second that the target names in its responses, or 0.
+	limit float64
 	// state is the announced state. It never returns from draining to ready.
 	state          string
 	inFlight       int
@@ -128,20 +135,50 @@
 	t.crash()
 }
 
+// leave says in all responses that the target leaves, keeps serving for 1.5 times drainTime, and stops. The
+// announcement that it leaves is lost.
+func (t *target) leave(drainTime time.Duration) {
+	t.leaving.Store(true)
+	time.Sleep(drainTime + drainTime/2)
+	t.crash()
+}
+
+func (t *target) setLimit(limit float64) {
+	t.mu.Lock()
+	t.limit = limit
+	t.mu.Unlock()
+	t.checker.RecordLimit(t.id, limit, time.Now())
+}
+
+// writeState sets the headers that describe the target's state.
+func (t *target) writeState(header http.Header) {
+	header.Set(InstanceHeader, t.id)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.limit > 0 {
+		header.Set(platform.LimitHeader, fmt.Sprint(t.limit))
+	}
+	if t.leaving.Load() {
+		header.Set(platform.LeavingHeader, "1")
+	}
+}
+
 // ServeHTTP runs a request. It rejects a request that expects another incarnation or arrives while the target is at
 // its concurrency limit.
 func (t *target) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get(platform.RequestIDHeader)
 	w.Header().Set(platform.RequestIDHeader, id)
+	t.writeState(w.Header())
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
 	}
-	switch {
-	case r.Header.Get(platform.ExpectIncarnationHeader) != t.id:
+	if r.Header.Get(platform.ExpectIncarnationHeader) != t.id {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
-	case !t.acquire():
+	}
+	t.checker.RecordArrival(id, t.id, time.Now())
+	if !t.acquire() {
 		w.Header().Set(platform.NotRunHeader, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
--- a/internal/standin/responder/responder.go
+++ b/internal/standin/responder/responder.go
@@ -43,8 +43,39 @@
 	CloseIdle Fault = "close-idle"
 	// Unavailable responds with status 503 although the request has run.
 	Unavailable Fault = "unavailable"
+	// Failed responds with a signed status 500.
+	Failed Fault = "failed"
+	// Misdirected rejects the request as one for another incarnation.
+	Misdirected Fault = "misdirected"
+	// The remaining faults send bytes until the connection is closed.
+
+	// EndlessStatus never ends the status line.
+	EndlessStatus Fault = "endless-status"
+	// EndlessHeader never ends one header line, EndlessHeaders never ends the list of header lines.
+	EndlessHeader  Fault = "endless-header"
+	EndlessHeaders Fault = "endless-headers"
+	// EndlessInterim sends interim responses only.
+	EndlessInterim Fault = "endless-interim"
+	// EndlessChunks sends a body in chunks, EndlessUnframed one without a length.
+	EndlessChunks   Fault = "endless-chunks"
+	EndlessUnframed Fault = "endless-unframed"
+	// EndlessTrailer sends a body in chunks and never ends the trailer.
+	EndlessTrailer Fault = "endless-trailer"
+	// EndlessExtra sends a complete response and goes on.
+	EndlessExtra Fault = "endless-extra"
 )
 
+// endless holds for each endless fault what precedes the bytes that are repeated, after the status line, and these
+// bytes.
+var endless = map[Fault]struct{ before, repeated string }{
+	EndlessHeader:   {"X-Long: ", "xxxxxxxx"},
+	EndlessHeaders:  {"", "X-More: x\r\n"},
+	EndlessChunks:   {"Transfer-Encoding: chunked\r\n\r\n", "8\r\nxxxxxxxx\r\n"},
+	EndlessUnframed: {"\r\n", "xxxxxxxx"},
+	EndlessTrailer:  {"Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n", "X-More: x\r\n"},
+	EndlessExtra:    {"Content-Length: 2\r\n\r\nok", "xxxxxxxx"},
+}
+
 // Request is a request as received by the target.
 type Request struct {
 	Method string
@@ -55,11 +86,13 @@
 
 // Responder is a target with configurable faults. It is safe for concurrent use.
 type Responder struct {
-	// ServiceTime is the service time of a request.
+	// ServiceTime is the service time of a request. SetServiceTime changes it while the responder runs.
 	ServiceTime time.Duration
 
 	mu          sync.Mutex
 	fault       Fault
+	headers     string
+	sentBytes   int
 	requests    []Request
 	inFlight    int
 	maxInFlight int
@@ -91,6 +124,13 @@
 	r.done.Wait()
 }
 
+// SetServiceTime sets the service time of all subsequent requests.
+func (r *Responder) SetServiceTime(d time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.ServiceTime = d
+}
+
 // SetFault sets the fault of all subsequent responses.
 func (r *Responder) SetFault(f Fault) {
 	r.mu.Lock()
@@ -98,6 +138,20 @@
 	r.fault = f
 }
 
+// SetHeaders sets header lines, each with its line end, that all subsequent responses have.
+func (r *Responder) SetHeaders(lines string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.headers = lines
+}
+
+// SentBytes returns the number of bytes that the endless faults have written.
+func (r *Responder) SentBytes() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.sentBytes
+}
+
 // Requests returns the requests that were run.
 func (r *Responder) Requests() []Request {
 	r.mu.Lock()
@@ -147,27 +201,38 @@
 func (r *Responder) respond(c net.Conn, req *http.Request, body string) bool {
 	r.mu.Lock()
 	f := r.fault
-	if f != Shed {
+	headers, serviceTime := r.headers, r.ServiceTime
+	rejected := f == Shed || f == Misdirected
+	if !rejected {
 		r.requests = append(r.requests, Request{Method: req.Method, URI: req.RequestURI, Header: req.Header, Body: body})
 		r.inFlight++
 		r.maxInFlight = max(r.maxInFlight, r.inFlight)
 	}
 	r.mu.Unlock()
-	if f != Shed {
-		time.Sleep(r.ServiceTime)
+	if !rejected {
+		time.Sleep(serviceTime)
 		r.mu.Lock()
 		r.inFlight--
 		r.mu.Unlock()
 	}
 	id := req.Header.Get("X-Plantainwheel-Request-Id")
+	if f.isEndless() {
+		r.writeEndless(c, f, id)
+		return false
+	}
+	responseHead := func(id, length string) string { return responseHead(id, headers+length) }
 	switch f {
+	case Failed:
+		return write(c, strings.Replace(responseHead(id, "Content-Length: 2\r\n"), "200 OK", "500 Failed", 1)+"no")
+	case Misdirected:
+		return write(c, strings.Replace(responseHead(id, "Content-Length: 2\r\n"), "200 OK", "421 Misdirected", 1)+"no")
 	case Reset:
 		return false
 	case Hang:
 		_, _ = io.Copy(io.Discard, c)
 		return false
 	case Shed:
-		return write(c, "HTTP/1.1 503 Service Unavailable\r\nX-Plantainwheel-Request-Id: "+id+"\r\nX-Plantainwheel-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+		return write(c, "HTTP/1.1 503 Service Unavailable\r\nX-Plantainwheel-Request-Id: "+id+"\r\nX-Plantainwheel-Not-Executed: 1\r\n"+headers+"Content-Length: 0\r\n\r\n")
 	case Truncate:
 		write(c, responseHead(id, "Content-Length: 100\r\n")+"short")
 		return false
@@ -202,6 +267,25 @@
 	return "HTTP/1.1 200 OK\r\nX-Plantainwheel-Request-Id: " + id + "\r\nX-Plantainwheel-Response-Seal: s\r\n" + length + "\r\n"
 }
 
+func (f Fault) isEndless() bool { return strings.HasPrefix(string(f), "endless-") }
+
+// writeEndless writes until the peer closes the connection.
+func (r *Responder) writeEndless(c net.Conn, f Fault, id string) {
+	before, repeated := responseHead(id, "")[:len(responseHead(id, ""))-2]+endless[f].before, endless[f].repeated
+	switch f {
+	case EndlessStatus:
+		before, repeated = "HTTP/1.1 200 ", "xxxxxxxx"
+	case EndlessInterim:
+		before, repeated = "", "HTTP/1.1 103 Early Hints\r\n\r\n"
+	}
+	block := strings.Repeat(repeated, 1<<10)
+	for text := before; write(c, text); text = block {
+		r.mu.Lock()
+		r.sentBytes += len(text)
+		r.mu.Unlock()
+	}
+}
+
 func write(c net.Conn, text string) bool {
 	_, err := io.WriteString(c, text)
 	return err == nil
