Log what a target says about its state, count the requests sent to it

The answers are decoded in platform/, a change is one log line ('target state changed'), and target_requests_sent_total counts what is sent, second sends included. An answer to another request or a 421 says nothing of this incarnation. No decision uses it yet; a malformed limit neither names nor lifts one.

--- a/internal/node/attendant/attendant.go
+++ b/internal/node/attendant/attendant.go
@@ -108,6 +108,8 @@
 	peers := forwarder.NewPool()
 	a.pools = []*transporter.Pool{targets, peers}
 	a.executor = executor.New(targets)
+	a.executor.OnStateChange = a.handleTargetState
+	a.executor.OnSend = a.Metrics.NewCounter("target_requests_sent_total").Inc
 	wake := make(chan struct{}, 1)
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: storeMaxIdleConns, IdleConnTimeout: 20 * time.Second}}
 	a.watcher = &watcher.Watcher{
--- a/internal/node/attendant/report.go
+++ b/internal/node/attendant/report.go
@@ -7,6 +7,7 @@
 	"github.com/plantainwheel/plantainwheel/internal/policy/allocator"
 	"github.com/plantainwheel/plantainwheel/internal/policy/estimator"
 	"github.com/plantainwheel/plantainwheel/internal/policy/regulator"
+	"github.com/plantainwheel/plantainwheel/platform"
 )
 
 // plan updates the admission plan from the costs, slots and demand that all nodes report.
@@ -50,6 +51,17 @@
 		Msg("target under load")
 }
 
+// handleTargetState logs what the target's answers newly say about its state.
+func (a *Attendant) handleTargetState(s platform.TargetState) {
+	a.Log.Info().
+		Str("target", a.executor.Target().ID).
+		Bool("limited", s.LimitNamed).
+		Float64("limit", s.Limit).
+		Bool("malformed", s.LimitMalformed).
+		Bool("leaving", s.Leaving).
+		Msg("target state changed")
+}
+
 // urgentLoad is the load per slot above which reports are sent at the urgent interval.
 const urgentLoad = 0.7
 
--- a/internal/target/executor/executor.go
+++ b/internal/target/executor/executor.go
@@ -102,9 +102,14 @@
 // Executor runs jobs. It is safe for concurrent use. No other lock is acquired while its mutex is held.
 type Executor struct {
 	Pool *transporter.Pool
+	// OnStateChange, if set, is called when the target's answers name another limit, lift it, or say for the first time
+	// that the target leaves. OnSend, if set, is called for each request sent to the target.
+	OnStateChange func(platform.TargetState)
+	OnSend        func()
 
 	mu               sync.Mutex
 	target           Target
+	state            platform.TargetState
 	stopping         bool
 	unreachableUntil time.Time
 	queue            queuer.Queue
@@ -285,18 +290,53 @@
 	if job.Idempotent {
 		maxIdle = maxIdleIdempotent
 	}
-	resp, reused, err := e.Pool.Send(ctx, target.Address, &job.Request, maxIdle)
+	resp, reused, err := e.send(ctx, &target, job, maxIdle)
 	if err != nil && reused && ctx.Err() == nil && e.canResend(job, err) {
-		resp, _, err = e.Pool.Send(ctx, target.Address, &job.Request, 0)
+		resp, _, err = e.send(ctx, &target, job, 0)
 	}
 	if err != nil {
 		ctxDone := ctx.Err() != nil
 		cancel()
 		return e.failureAnswer(err, ctxDone)
 	}
+	if isOwnAnswer(resp, job) {
+		e.learn(&target, platform.DecodeTargetState(resp.Header))
+	}
 	return readAnswer(resp, job, cancel)
 }
 
+// send sends the job once.
+func (e *Executor) send(ctx context.Context, target *Target, job *Job, maxIdle time.Duration) (*http.Response, bool, error) {
+	if e.OnSend != nil {
+		e.OnSend()
+	}
+	return e.Pool.Send(ctx, target.Address, &job.Request, maxIdle)
+}
+
+// isOwnAnswer reports whether the answer belongs to the job's request and comes from the expected incarnation.
+func isOwnAnswer(resp *http.Response, job *Job) bool {
+	return resp.StatusCode != http.StatusMisdirectedRequest &&
+		resp.Header.Get(platform.RequestIDHeader) == job.Request.Header.Get(platform.RequestIDHeader)
+}
+
+// learn records what an answer of the incarnation says about its state.
+func (e *Executor) learn(from *Target, s platform.TargetState) {
+	if e.recordState(from, s) && e.OnStateChange != nil {
+		e.OnStateChange(s)
+	}
+}
+
+// recordState reports whether the state has changed.
+func (e *Executor) recordState(from *Target, s platform.TargetState) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if from.ID != e.target.ID || from.StartedAtMs != e.target.StartedAtMs || s == e.state {
+		return false
+	}
+	e.state = s
+	return true
+}
+
 // prepare sets the headers that the target expects from its node, and returns the target. It checks again whether
 // the target accepts requests, because the target may have left while the job was queued.
 func (e *Executor) prepare(job *Job, remaining time.Duration) (Target, string) {
--- a/internal/target/executor/target.go
+++ b/internal/target/executor/target.go
@@ -43,6 +43,7 @@
 		WarmUpEnd: now.Add(a.WarmUp),
 	}
 	if newIncarnation {
+		e.state = platform.TargetState{}
 		e.unreachableUntil = time.Time{}
 		e.failureRate = 0
 	}
