Hold the limit that a target names at the node beside it

What callers saw: a target in need named a limit and got many times as many requests. Cause: no code read Server-Limit (hypothesis 1); slots and queue bound requests in flight, not requests begun, and at 160 ms a request 94 slots let 590 a second through (hypothesis 2). The class of fault: a statement of a target that is passed on and not acted on.

Only the node beside the target reaches it, so that node holds the limit exactly. policy/pacer (golang.org/x/time/rate) paces what begins: new requests, calls of running requests, entries of the queue and second sends after a broken connection. A request that would wait past its time is refused at once as not run (target-rate-limited). Slots that the limit cannot fill are not reported: placement and admission see limit times hold time as the target's slots, and as occupied while nothing may begin. An answer of any status names the limit; one without it lifts it 1 s after the last one with it; a malformed one does neither; a limit of zero lets a request through each 2 s, since only answers can lift it; a new incarnation starts without.

--- a/internal/node/attendant/report.go
+++ b/internal/node/attendant/report.go
@@ -89,7 +89,7 @@
 	r := tracker.Report{
 		Node:          a.Settings.Node,
 		Target:        a.executor.Target().ID,
-		Running:       load.Running,
+		Running:       load.Occupied(),
 		Waiting:       load.Waiting,
 		Limit:         load.Limit,
 		Up:            load.Up,
--- a/internal/peer/forwarder/server.go
+++ b/internal/peer/forwarder/server.go
@@ -36,7 +36,7 @@
 
 func (s *Server) writeAnswer(w http.ResponseWriter, a *transporter.Answer) {
 	load := s.Executor.Load()
-	h := answerHop{outcome: outcomeAnswered, running: load.Running, waiting: load.Waiting, limit: load.Limit, reason: a.Reason}
+	h := answerHop{outcome: outcomeAnswered, running: load.Occupied(), waiting: load.Waiting, limit: load.Limit, reason: a.Reason}
 	switch {
 	case a.NotRun:
 		h.outcome = outcomeNotRun
--- a/internal/policy/queuer/queuer.go
+++ b/internal/policy/queuer/queuer.go
@@ -34,10 +34,20 @@
 // Waiting returns the number of queued requests.
 func (q *Queue) Waiting() int { return len(q.waiting) }
 
-// Offer requests a slot. started reports whether the request may run now. If the queue is full, refused is the
-// offered entry or a less important one that was removed to make room for it.
-func (q *Queue) Offer(e *Entry) (started bool, refused *Entry) {
-	if q.running < q.Limit && len(q.waiting) == 0 {
+// Ahead returns the number of waiting requests that run before a new one of the given rank.
+func (q *Queue) Ahead(rank int) int {
+	n := 0
+	for n < len(q.waiting) && q.waiting[n].Rank <= rank {
+		n++
+	}
+	return n
+}
+
+// Offer requests a slot. started reports whether the request may run now; available is the number of requests that may
+// start besides their need of a slot. If the queue is full, refused is the offered entry or a less important one that
+// was removed to make room for it.
+func (q *Queue) Offer(e *Entry, available int) (started bool, refused *Entry) {
+	if q.running < q.Limit && len(q.waiting) == 0 && available > 0 {
 		q.running++
 		return true, nil
 	}
@@ -68,11 +78,11 @@
 // Done releases a slot.
 func (q *Queue) Done() { q.running-- }
 
-// StartQueued starts waiting entries up to the limit. It returns them and the entries that have passed their latest
-// start.
-func (q *Queue) StartQueued(now time.Time) (started, expired []*Entry) {
+// StartQueued starts waiting entries up to the limit and to the given number. It returns them and the entries that have
+// passed their latest start.
+func (q *Queue) StartQueued(now time.Time, available int) (started, expired []*Entry) {
 	expired = q.expire(now)
-	for q.running < q.Limit && len(q.waiting) > 0 {
+	for q.running < q.Limit && len(q.waiting) > 0 && len(started) < available {
 		started = append(started, q.waiting[0])
 		q.waiting = q.waiting[1:]
 		q.running++
--- a/internal/policy/queuer/queuer_test.go
+++ b/internal/policy/queuer/queuer_test.go
@@ -1,6 +1,7 @@
 package queuer_test
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -19,17 +20,17 @@
 func TestChildCallsGoFirst(t *testing.T) {
 	q := queuer.Queue{Limit: 2}
 	for range 2 {
-		started, _ := q.Offer(entry(0, time.Second))
+		started, _ := q.Offer(entry(0, time.Second), unpaced)
 		assert.Assert(t, started)
 	}
 	low, high, first, second := entry(34, time.Second), entry(0, time.Second), entry(queuer.ChildCallRank, time.Second), entry(queuer.ChildCallRank, time.Second)
 	for _, e := range []*queuer.Entry{low, high, first, second} {
-		started, refused := q.Offer(e)
+		started, refused := q.Offer(e, unpaced)
 		assert.Assert(t, !started && refused == nil)
 	}
 	for _, want := range []*queuer.Entry{first, second, high, low} {
 		q.Done()
-		got, expired := q.StartQueued(t0)
+		got, expired := q.StartQueued(t0, unpaced)
 		assert.Equal(t, len(expired), 0)
 		assert.Assert(t, len(got) == 1 && got[0] == want)
 	}
@@ -40,12 +41,12 @@
 func TestNeverAboveLimit(t *testing.T) {
 	q := queuer.Queue{Limit: 3}
 	for range 8 {
-		q.Offer(entry(0, time.Second))
+		q.Offer(entry(0, time.Second), unpaced)
 	}
 	assert.Equal(t, q.Running(), 3)
 	q.Limit = 1
 	q.Done()
-	started, _ := q.StartQueued(t0)
+	started, _ := q.StartQueued(t0, unpaced)
 	assert.Equal(t, len(started), 0)
 	assert.Equal(t, q.Running(), 2)
 }
@@ -54,31 +55,53 @@
 // one.
 func TestFullQueueGivesWay(t *testing.T) {
 	q := queuer.Queue{Limit: 1}
-	q.Offer(entry(0, time.Second))
+	q.Offer(entry(0, time.Second), unpaced)
 	low := entry(40, time.Second)
 	for _, e := range []*queuer.Entry{entry(16, time.Second), entry(16, time.Second), low} {
-		_, refused := q.Offer(e)
+		_, refused := q.Offer(e, unpaced)
 		assert.Assert(t, refused == nil)
 	}
-	_, refused := q.Offer(entry(16, time.Second))
+	_, refused := q.Offer(entry(16, time.Second), unpaced)
 	assert.Assert(t, refused == low)
 	same := entry(16, time.Second)
-	_, refused = q.Offer(same)
+	_, refused = q.Offer(same, unpaced)
 	assert.Assert(t, refused == same)
 }
 
 // TestExpiredEntriesAreRefused checks that an entry past its latest start is removed and doesn't start.
 func TestExpiredEntriesAreRefused(t *testing.T) {
 	q := queuer.Queue{Limit: 1}
-	q.Offer(entry(0, time.Second))
+	q.Offer(entry(0, time.Second), unpaced)
 	expired, removed := entry(0, 10*time.Millisecond), entry(0, time.Second)
-	q.Offer(expired)
-	q.Offer(removed)
+	q.Offer(expired, unpaced)
+	q.Offer(removed, unpaced)
 	assert.Assert(t, q.Remove(removed))
 	assert.Assert(t, !q.Remove(removed))
 	q.Done()
-	started, refused := q.StartQueued(t0.Add(20 * time.Millisecond))
+	started, refused := q.StartQueued(t0.Add(20*time.Millisecond), unpaced)
 	assert.Equal(t, len(started), 0)
 	assert.Assert(t, len(refused) == 1 && refused[0] == expired)
 	assert.Equal(t, q.Waiting(), 0)
 }
+
+// unpaced is the number of requests that may start if nothing but slots limits them.
+const unpaced = math.MaxInt
+
+// TestPacedStart checks that requests wait although slots are free while fewer may start, and how many requests a new
+// one finds ahead of it.
+func TestPacedStart(t *testing.T) {
+	q := queuer.Queue{Limit: 4}
+	started, refused := q.Offer(entry(2, time.Second), 0)
+	assert.Assert(t, !started && refused == nil)
+	q.Offer(entry(1, time.Second), 0)
+	q.Offer(entry(queuer.ChildCallRank, time.Second), 0)
+	assert.Equal(t, q.Ahead(queuer.ChildCallRank), 1)
+	assert.Equal(t, q.Ahead(1), 2)
+	assert.Equal(t, q.Ahead(9), 3)
+	first, _ := q.StartQueued(t0, 1)
+	assert.Equal(t, len(first), 1)
+	assert.Equal(t, first[0].Rank, queuer.ChildCallRank)
+	rest, _ := q.StartQueued(t0, 2)
+	assert.Equal(t, len(rest), 2)
+	assert.Equal(t, q.Running(), 3)
+}
--- a/internal/target/executor/executor.go
+++ b/internal/target/executor/executor.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/plantainwheel/plantainwheel/internal/policy/estimator"
+	"github.com/plantainwheel/plantainwheel/internal/policy/pacer"
 	"github.com/plantainwheel/plantainwheel/internal/policy/queuer"
 	"github.com/plantainwheel/plantainwheel/internal/policy/regulator"
 	"github.com/plantainwheel/plantainwheel/internal/policy/retrier"
@@ -27,6 +28,7 @@
 	ReasonUnreachable      = "target-unreachable"
 	ReasonQueueFull        = "queue-full"
 	ReasonQueueTimeout     = "waited-too-long"
+	ReasonRateLimited      = "target-rate-limited"
 	ReasonDeadlinePassed   = "deadline-passed"
 	ReasonTargetShed       = "target-shed"
 	ReasonCancelled        = "caller-left"
@@ -56,6 +58,9 @@
 	answerGrace = 80 * time.Millisecond
 	// failureWeight is the weight of the latest outcome in the moving average of failures.
 	failureWeight = 0.05
+	// holdTimeWeight is the weight of the latest request in the moving average of the time for which requests hold their
+	// slots.
+	holdTimeWeight = 0.1
 	// failureHalfLife is the time without outcomes after which the failure rate has halved, so that a target
 	// that no longer receives requests is tried again.
 	failureHalfLife = 3 * time.Second
@@ -73,8 +78,11 @@
 	Rank int
 	// ExpectedIncarnation is the ID of the only incarnation that may run the request; empty allows any.
 	ExpectedIncarnation string
-	Idempotent          bool
-	Deadline            time.Time
+	// KnownLimit is the limit that the entry node has last seen in an answer of the incarnation, in requests per second,
+	// or 0.
+	KnownLimit float64
+	Idempotent bool
+	Deadline   time.Time
 	// MaxWait is the maximum time in the queue.
 	MaxWait time.Duration
 }
@@ -91,6 +99,17 @@
 	FailureRate float64
 	// Up reports whether the target accepts requests.
 	Up bool
+	// Paced reports whether no request can begin at present because of the limit that the target has named. Limit is
+	// then also bounded by the requests that run at once at that rate.
+	Paced bool
+}
+
+// Occupied returns the number of slots that other nodes should take for occupied.
+func (l *Load) Occupied() int {
+	if l.Paced {
+		return max(l.Running, l.Limit)
+	}
+	return l.Running
 }
 
 // waiter is a queued job. admitted receives true when the job gets a slot and false when it is refused.
@@ -113,6 +132,8 @@
 	stopping         bool
 	unreachableUntil time.Time
 	queue            queuer.Queue
+	pacer            pacer.Pacer
+	holdTime         time.Duration
 	waiters          map[*queuer.Entry]waiter
 	meter            regulator.Meter
 	estimator        estimator.Estimator
@@ -136,7 +157,8 @@
 	if reason != "" {
 		return transporter.NotRunAnswer(reason)
 	}
-	finish := sync.OnceFunc(func() { e.finish(job.Route) })
+	began := time.Now()
+	finish := sync.OnceFunc(func() { e.finish(job.Route, began) })
 	answer := e.run(ctx, job)
 	e.recordOutcome(answer)
 	if answer.Body.Stream == nil {
@@ -183,10 +205,16 @@
 	if reason := e.refusalReason(now, job.ExpectedIncarnation); reason != "" {
 		return nil, reason
 	}
-	admitted, refused := e.queue.Offer(entry)
+	if job.KnownLimit > 0 {
+		e.pacer.Adopt(now, job.KnownLimit)
+	}
+	if e.pacer.Delay(now, e.queue.Ahead(job.Rank)) > job.MaxWait {
+		return nil, ReasonRateLimited
+	}
+	admitted, refused := e.queue.Offer(entry, e.pacer.Available(now))
 	defer e.observeLoad(now)
 	if admitted {
-		e.estimator.RecordStart(now, job.Route)
+		e.begin(now, job.Route)
 		return nil, ""
 	}
 	if refused == entry {
@@ -216,12 +244,18 @@
 	}
 }
 
+// begin records that a job of the route has got a slot.
+func (e *Executor) begin(now time.Time, route string) {
+	e.pacer.Take(now)
+	e.estimator.RecordStart(now, route)
+}
+
 // notify ends a job's wait. An admitted job counts as running from now on.
 func (e *Executor) notify(now time.Time, entry *queuer.Entry, admitted bool) {
 	w := e.waiters[entry]
 	delete(e.waiters, entry)
 	if admitted {
-		e.estimator.RecordStart(now, w.route)
+		e.begin(now, w.route)
 	}
 	w.admitted <- admitted
 }
@@ -245,10 +279,14 @@
 }
 
 // finish records the end of a running job of the route and releases its slot.
-func (e *Executor) finish(route string) {
+func (e *Executor) finish(route string, began time.Time) {
 	now := time.Now()
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.holdTime == 0 {
+		e.holdTime = now.Sub(began)
+	}
+	e.holdTime += time.Duration(holdTimeWeight * float64(now.Sub(began)-e.holdTime))
 	e.estimator.RecordEnd(now, route)
 	e.releaseSlot(now)
 }
@@ -259,9 +297,9 @@
 	e.startWaiting(now)
 }
 
-// startWaiting starts queued jobs up to the limit and refuses those that exceeded their maximum wait.
+// startWaiting starts queued jobs up to the limits and refuses those that exceeded their maximum wait.
 func (e *Executor) startWaiting(now time.Time) {
-	admitted, expired := e.queue.StartQueued(now)
+	admitted, expired := e.queue.StartQueued(now, e.pacer.Available(now))
 	for _, entry := range admitted {
 		e.notify(now, entry, true)
 	}
@@ -271,8 +309,11 @@
 	e.observeLoad(now)
 }
 
+// usableSlots returns the number of requests that the target can run at once on average.
+func (e *Executor) usableSlots() int { return e.pacer.Slots(e.queue.Limit, e.holdTime) }
+
 func (e *Executor) observeLoad(now time.Time) {
-	e.meter.Observe(now, e.queue.Running(), e.queue.Waiting(), e.queue.Limit)
+	e.meter.Observe(now, e.queue.Running(), e.queue.Waiting(), e.usableSlots())
 }
 
 // run sends the job to the target.
@@ -326,15 +367,23 @@
 	}
 }
 
-// recordState reports whether the state has changed.
+// recordState applies the state and reports whether it has changed.
 func (e *Executor) recordState(from *Target, s platform.TargetState) bool {
+	now := time.Now()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if from.ID != e.target.ID || from.StartedAtMs != e.target.StartedAtMs || s == e.state {
+	if from.ID != e.target.ID || from.StartedAtMs != e.target.StartedAtMs {
 		return false
 	}
+	switch {
+	case s.LimitNamed:
+		e.pacer.Name(now, s.Limit)
+	case !s.LimitMalformed:
+		e.pacer.Unname(now)
+	}
+	changed := s != e.state
 	e.state = s
-	return true
+	return changed
 }
 
 // prepare sets the headers that the target expects from its node, and returns the target. It checks again whether
@@ -361,7 +410,11 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return job.Idempotent && e.resendBudget.Take()
+	if !job.Idempotent || !e.resendBudget.Take() {
+		return false
+	}
+	e.pacer.Take(time.Now())
+	return true
 }
 
 // failureAnswer returns the answer for a failed send. ctxDone is true if the deadline had passed or the caller
--- a/internal/target/executor/limit_test.go
+++ b/internal/target/executor/limit_test.go
@@ -37,6 +37,7 @@
 		t.Run(strings.ReplaceAll(name, " ", "-"), func(t *testing.T) {
 			t.Parallel()
 			s := &limitScript{fixture: newFixture(t, limitTestSlots, time.Millisecond)}
+			go s.tick()
 			for step := range strings.Lines(steps) {
 				verb, rest, _ := strings.Cut(strings.TrimSpace(step), " ")
 				if verb != "" {
@@ -90,6 +91,14 @@
 	}
 }
 
+// tick does the periodic work of a node until the test ends.
+func (s *limitScript) tick() {
+	for s.t.Context().Err() == nil {
+		s.executor.Tick()
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
 func (s *limitScript) send(rank int) {
 	job := s.job(fmt.Sprint(s.sent.Add(1)), true)
 	job.ExpectedIncarnation = ""
--- a/internal/target/executor/target.go
+++ b/internal/target/executor/target.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/plantainwheel/plantainwheel/internal/policy/estimator"
+	"github.com/plantainwheel/plantainwheel/internal/policy/pacer"
 	"github.com/plantainwheel/plantainwheel/platform"
 )
 
@@ -44,6 +45,7 @@
 	}
 	if newIncarnation {
 		e.state = platform.TargetState{}
+		e.pacer = pacer.Pacer{}
 		e.unreachableUntil = time.Time{}
 		e.failureRate = 0
 	}
@@ -125,10 +127,11 @@
 	return Load{
 		Running:     e.queue.Running(),
 		Waiting:     e.queue.Waiting(),
-		Limit:       e.queue.Limit,
+		Limit:       e.usableSlots(),
 		Mean:        e.meter.Mean(now),
 		FailureRate: e.decayedFailureRate(now),
 		Up:          e.refusalReason(now, "") == "",
+		Paced:       e.pacer.Available(now) == 0,
 	}
 }
 
