Carry a target's limit from the entry nodes that know it

A restart of the node beside a target forgets the limit, and until the first answer only slots bound what begins, while the entry nodes that had passed on the limit are still bound by it. They now keep what the target of a member named in the latest answer, by incarnation, and send it along with each request in a header between nodes; a node that has no answer of the incarnation yet adopts it. A header of its own, so that nodes of earlier builds accept the rest. A refusal because of a limit asks callers to come back after 1 to 2 s, spread, since room comes back at the rate of the limit.

TestKnownLimit and TestTargetLimitKnown guard it; without the adoption the former ran the first request at once (checked by its NotRun answer, which needs the header).

--- a/internal/caller/gateway/gateway.go
+++ b/internal/caller/gateway/gateway.go
@@ -43,6 +43,9 @@
 	minRemainingTime = 10 * time.Millisecond
 	// transientRetryAfter is the retry delay suggested to callers after a transient failure of the fleet.
 	transientRetryAfter = 300 * time.Millisecond
+	// rateLimitedRetryAfter is the retry delay suggested if the targets take no more requests at present because of the
+	// limits that they name.
+	rateLimitedRetryAfter = time.Second
 	// overloadRetryAfter is the retry delay suggested for a shed request when the admitted fraction of its class is
 	// close to 1. It is divided by that fraction, so the delay grows as the fraction falls.
 	overloadRetryAfter = 400 * time.Millisecond
@@ -301,12 +304,32 @@
 	if !answer.NotRun || answer.Reason == executor.ReasonTargetShed {
 		q.sends++
 	}
+	g.recordStatement(m, answer)
 	if answer.NotRun && answer.Reason != executor.ReasonDeadlinePassed && answer.Reason != executor.ReasonCancelled {
 		g.Tracker.MarkRefusing(m.Node)
 	}
 	return answer
 }
 
+// recordStatement records what the answer says about its target, so that this node acts on it even if the target's node
+// has not heard of it or has been restarted.
+func (g *Gateway) recordStatement(m *tracker.Member, a *transporter.Answer) {
+	if a.NotRun || a.Unknown || a.Status == http.StatusMisdirectedRequest {
+		return
+	}
+	s := platform.DecodeTargetState(a.Header)
+	if s.LimitMalformed {
+		s.Limit = g.Tracker.Limit(m)
+	}
+	if s.LimitNamed {
+		s.Limit = max(s.Limit, minKnownLimit)
+	}
+	g.Tracker.RecordStatement(m, s.Limit)
+}
+
+// minKnownLimit stands for a limit of 0, since 0 means that no limit is known.
+const minKnownLimit = 1e-3
+
 // job returns the job that is sent to the node of m. Its header carries the client account instead of the key.
 func (g *Gateway) job(q *request, m *tracker.Member) *executor.Job {
 	header := q.r.Header.Clone()
@@ -322,6 +345,7 @@
 		Route:               q.route.Name,
 		Rank:                q.rank,
 		ExpectedIncarnation: m.Target,
+		KnownLimit:          g.Tracker.Limit(m),
 		Idempotent:          q.route.Idempotent,
 		Deadline:            q.deadline,
 		MaxWait:             g.maxWait(q),
@@ -343,7 +367,7 @@
 func (g *Gateway) writeAnswer(q *request, a *transporter.Answer) {
 	switch {
 	case a.NotRun:
-		g.refuse(q, &refusal{http.StatusServiceUnavailable, a.Reason, transientRetryAfter})
+		g.refuse(q, &refusal{http.StatusServiceUnavailable, a.Reason, retryAfter(a.Reason)})
 		return
 	case a.Unknown && a.Reason == executor.ReasonAnswerTimeout:
 		g.refuse(q, &refusal{http.StatusGatewayTimeout, a.Reason, 0})
@@ -393,6 +417,14 @@
 	forwarder.WriteBody(q.w, &transporter.Answer{Status: v.status})
 }
 
+// retryAfter returns the retry delay for a request that has not run.
+func retryAfter(reason string) time.Duration {
+	if reason == executor.ReasonRateLimited {
+		return rateLimitedRetryAfter
+	}
+	return transientRetryAfter
+}
+
 // formatRetryAfter formats the delay as a header value in seconds. It adds jitter, so that refused callers do not all
 // retry at the same time.
 func formatRetryAfter(delay time.Duration) string {
--- a/internal/caller/gateway/gateway_test.go
+++ b/internal/caller/gateway/gateway_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -259,3 +260,26 @@
 	f.gateway.Metrics.Set.WritePrometheus(&text)
 	assert.Assert(t, strings.Contains(text.String(), `request_duration_seconds_count{route="read \"x\""} 5`), text.String())
 }
+
+// TestTargetLimitKnown checks that a job carries the limit that the target named in the latest answer that this node
+// passed on, and that a refusal because of a limit asks for a longer pause.
+func TestTargetLimitKnown(t *testing.T) {
+	says := func(limit string) *transporter.Answer {
+		a := ok()
+		a.Header.Set(platform.LimitHeader, limit)
+		return a
+	}
+	misdirected := says("50")
+	misdirected.Status = http.StatusMisdirectedRequest
+	limited := transporter.NotRunAnswer(executor.ReasonRateLimited)
+	f := newFixture(t, ok(), says("6"), says("x"), misdirected, says("0"), ok(), limited)
+	for _, want := range []float64{0, 0, 6, 6, 6, 0.001, 0} {
+		f.send(http.MethodGet, "/open/1", "", nil)
+		assert.Equal(t, f.sender.jobs[len(f.sender.jobs)-1].KnownLimit, want)
+	}
+	w := f.send(http.MethodGet, "/open/1", "", nil)
+	assert.Equal(t, w.Code, http.StatusServiceUnavailable)
+	seconds, err := strconv.ParseFloat(w.Header().Get(platform.RetryAfterHeader), 64)
+	assert.NilError(t, err)
+	assert.Assert(t, seconds >= 1, "%g", seconds)
+}
--- a/internal/fleet/tracker/tracker.go
+++ b/internal/fleet/tracker/tracker.go
@@ -106,7 +106,8 @@
 	mu    sync.Mutex
 	peers map[string]*peer
 	// restored holds, by node, the costs that were learned before this process started.
-	restored map[string]NodeCosts
+	restored   map[string]NodeCosts
+	statements map[incarnation]statement
 }
 
 type peer struct {
--- a/internal/peer/forwarder/forwarder.go
+++ b/internal/peer/forwarder/forwarder.go
@@ -20,6 +20,10 @@
 // and format are short because traffic between data centres is billed by volume.
 const hopHeader = "Pw"
 
+// limitHeader is the header that carries the limit that the sender has last seen in an answer of the target. It is
+// separate, so that nodes of earlier builds accept the hopHeader.
+const limitHeader = "Pw-Limit"
+
 // Outcome codes in the hopHeader of a response.
 const (
 	outcomeAnswered = "a"
@@ -157,6 +161,10 @@
 		text += " " + value
 	}
 	h.Set(hopHeader, text)
+	h.Del(limitHeader)
+	if job.KnownLimit > 0 {
+		h.Set(limitHeader, strconv.FormatFloat(job.KnownLimit, 'g', -1, 64))
+	}
 }
 
 // decodeRequestHop parses hopHeader, removes it, and restores the headers that were packed into it.
@@ -166,6 +174,9 @@
 	if len(fields) != 5+len(packedHeaders) {
 		return executor.Job{}, errMalformedHop
 	}
+	// Without a readable value, no limit is known.
+	knownLimit, _ := strconv.ParseFloat(h.Get(limitHeader), 64)
+	h.Del(limitHeader)
 	route, err := url.QueryUnescape(fields[4])
 	if err != nil {
 		return executor.Job{}, fmt.Errorf("%w: %w", errMalformedHop, err)
@@ -190,6 +201,7 @@
 		Deadline:            time.Now().Add(time.Duration(numbers[2]) * time.Millisecond),
 		Route:               route,
 		ExpectedIncarnation: h.Get(platform.ExpectIncarnationHeader),
+		KnownLimit:          knownLimit,
 	}, nil
 }
 
--- a/internal/peer/forwarder/forwarder_test.go
+++ b/internal/peer/forwarder/forwarder_test.go
@@ -29,6 +29,7 @@
 	node        *httptest.Server
 	loadTracker fakeLoadTracker
 	forwarder   *forwarder.Forwarder
+	knownLimit  float64
 }
 
 func newFixture(t *testing.T) *fixture {
@@ -59,6 +60,7 @@
 			},
 		},
 		Route: "a route", Rank: 3, ExpectedIncarnation: expect, Deadline: time.Now().Add(400 * time.Millisecond), MaxWait: 50 * time.Millisecond,
+		KnownLimit: f.knownLimit,
 	}
 	return f.forwarder.Do(ctx, "n", strings.TrimPrefix(f.node.URL, "http://"), job)
 }
@@ -124,3 +126,23 @@
 	assert.Equal(t, resp.StatusCode, http.StatusForbidden)
 	assert.Equal(t, len(f.target.Requests()), 0)
 }
+
+// TestKnownLimit checks that the node beside a target that was restarted learns the target's limit with the first
+// request from a node that knows it, until an answer tells that there is none.
+func TestKnownLimit(t *testing.T) {
+	f := newFixture(t)
+	f.knownLimit = 2
+	a := f.do(context.Background(), "i-1")
+	assert.Assert(t, a.NotRun)
+	assert.Equal(t, a.Reason, executor.ReasonRateLimited)
+	assert.Equal(t, len(f.target.Requests()), 0)
+	time.Sleep(500 * time.Millisecond)
+	a = f.do(context.Background(), "i-1")
+	assert.Equal(t, a.Status, 200)
+	assert.Equal(t, f.target.Requests()[0].Header.Get("Pw-Limit"), "")
+	time.Sleep(600 * time.Millisecond)
+	f.do(context.Background(), "i-1")
+	for range 5 {
+		assert.Equal(t, f.do(context.Background(), "i-1").Status, 200)
+	}
+}
