Send nothing to a target that says in its answers that it leaves

The node beside the target now treats an answer that says so, of any status and also a rejection, like the announcement: it refuses what waits, publishes the departure, and a later announcement of the same incarnation does not undo it. An entry node that has passed on such an answer sends nothing more to that incarnation, also if the target's node was restarted since. A 421 or an answer of an earlier incarnation says nothing.

Waiting for the publication is not needed: nothing is acknowledged to the target here.

--- a/internal/caller/gateway/gateway.go
+++ b/internal/caller/gateway/gateway.go
@@ -324,7 +324,9 @@
 	if s.LimitNamed {
 		s.Limit = max(s.Limit, minKnownLimit)
 	}
-	g.Tracker.RecordStatement(m, s.Limit)
+	if g.Tracker.RecordStatement(m, s.Limit, s.Leaving) {
+		g.Log.Info().Str("target", m.Target).Str("node", m.Node).Msg("target says that it leaves")
+	}
 }
 
 // minKnownLimit stands for a limit of 0, since 0 means that no limit is known.
--- a/internal/caller/gateway/gateway_test.go
+++ b/internal/caller/gateway/gateway_test.go
@@ -283,3 +283,34 @@
 	assert.NilError(t, err)
 	assert.Assert(t, seconds >= 1, "%g", seconds)
 }
+
+// TestTargetSaysThatItLeaves checks that a node that has passed on an answer which says that the target leaves sends
+// nothing more to that incarnation, although no announcement has been heard of, and uses the next incarnation.
+func TestTargetSaysThatItLeaves(t *testing.T) {
+	leaving := ok()
+	leaving.Header.Set(platform.LeavingHeader, "1")
+	misdirected := ok()
+	misdirected.Status = http.StatusMisdirectedRequest
+	misdirected.Header.Set(platform.LeavingHeader, "1")
+	f := newFixture(t, misdirected, leaving, ok())
+	for i, m := range f.gateway.Tracker.OtherMembers() {
+		m.Target = fmt.Sprint("i-", i)
+		f.gateway.Tracker.SetMember(m)
+	}
+	for range 30 {
+		f.send(http.MethodGet, "/open/1", "", nil)
+	}
+	last := f.sender.nodes[1]
+	for _, node := range f.sender.nodes[2:] {
+		assert.Assert(t, node != last)
+	}
+	for _, m := range f.gateway.Tracker.OtherMembers() {
+		if m.Node != last {
+			f.gateway.Tracker.RemoveMember(m.Node)
+		}
+	}
+	assert.Equal(t, f.send(http.MethodGet, "/open/1", "", nil).Code, http.StatusServiceUnavailable)
+	next := tracker.Member{Node: last, DataCentre: "dc", Service: "x", Target: "i-next", Slots: 10, State: tracker.Ready}
+	f.gateway.Tracker.SetMember(next)
+	assert.Equal(t, f.send(http.MethodGet, "/open/1", "", nil).Code, http.StatusOK)
+}
--- a/internal/fleet/tracker/statement.go
+++ b/internal/fleet/tracker/statement.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// statementLifetime is the time after which what a target has said is forgotten.
+// statementLifetime is the time after which what a target has said is forgotten. A target that leaves is gone long before.
 const statementLifetime = time.Hour
 
 // incarnation identifies one lifetime of a target.
@@ -17,16 +17,19 @@
 type statement struct {
 	// limit is the number of requests per second that the target takes, or 0.
 	limit float64
-	at    time.Time
+	// leaving is never reset.
+	leaving bool
+	at      time.Time
 }
 
-// RecordStatement records what an answer of the member's target says: its limit in requests per second, or 0.
-func (t *Tracker) RecordStatement(m *Member, limit float64) {
+// RecordStatement records what an answer of the member's target says: its limit in requests per second, or 0, and
+// whether it leaves. It returns true if the target says for the first time that it leaves.
+func (t *Tracker) RecordStatement(m *Member, limit float64, leaving bool) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	_, known := t.statements[m.incarnation()]
-	if !known && limit == 0 {
-		return
+	old, known := t.statements[m.incarnation()]
+	if !known && limit == 0 && !leaving {
+		return false
 	}
 	now := time.Now()
 	if t.statements == nil {
@@ -35,7 +38,8 @@
 	if !known {
 		t.forgetStatements(now)
 	}
-	t.statements[m.incarnation()] = statement{limit: limit, at: now}
+	t.statements[m.incarnation()] = statement{limit: limit, leaving: leaving || old.leaving, at: now}
+	return leaving && !old.leaving
 }
 
 func (t *Tracker) forgetStatements(now time.Time) {
--- a/internal/fleet/tracker/tracker.go
+++ b/internal/fleet/tracker/tracker.go
@@ -229,7 +229,7 @@
 	var list []placer.Candidate
 	var members []Member
 	for _, p := range t.peers {
-		if p.Service != service || p.State != Ready || slices.Contains(tried, p.Node) {
+		if p.Service != service || p.State != Ready || slices.Contains(tried, p.Node) || t.statements[p.incarnation()].leaving {
 			continue
 		}
 		list = append(list, t.candidate(now, p, route))
--- a/internal/node/attendant/report.go
+++ b/internal/node/attendant/report.go
@@ -51,7 +51,7 @@
 		Msg("target under load")
 }
 
-// handleTargetState logs what the target's answers newly say about its state.
+// handleTargetState logs what the target's answers newly say about its state, and publishes that the target leaves.
 func (a *Attendant) handleTargetState(s platform.TargetState) {
 	a.Log.Info().
 		Str("target", a.executor.Target().ID).
@@ -60,6 +60,9 @@
 		Bool("malformed", s.LimitMalformed).
 		Bool("leaving", s.Leaving).
 		Msg("target state changed")
+	if s.Leaving {
+		a.publish()
+	}
 }
 
 // urgentLoad is the load per slot above which reports are sent at the urgent interval.
--- a/internal/target/executor/executor.go
+++ b/internal/target/executor/executor.go
@@ -381,6 +381,10 @@
 	case !s.LimitMalformed:
 		e.pacer.Unname(now)
 	}
+	if s.Leaving && !e.target.Draining {
+		e.target.Draining = true
+		e.refuseWaitingIfLeaving(now)
+	}
 	changed := s != e.state
 	e.state = s
 	return changed
--- a/internal/target/executor/executor_test.go
+++ b/internal/target/executor/executor_test.go
@@ -180,17 +180,46 @@
 			f.announcement.StartedAtMs++
 			f.announce(1, false)
 		}, "not run: other-incarnation"},
+		"answer that says so":    {func(f *fixture) { f.answerLeaving(responder.None) }, "not run: draining"},
+		"rejection that says so": {func(f *fixture) { f.answerLeaving(responder.Shed) }, "not run: draining"},
+		"answer that says so, then ready again": {func(f *fixture) {
+			f.answerLeaving(responder.None)
+			f.announce(2, false)
+		}, "not run: draining"},
 		"node that stops": {func(f *fixture) { f.executor.Stop() }, "not run: draining"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			f := newFixture(t, 2, 0)
 			c.leave(f)
+			before := len(f.target.Requests())
 			assert.Equal(t, outcome(f.do("x", true)), c.want)
-			assert.Equal(t, len(f.target.Requests()), 0)
+			assert.Equal(t, len(f.target.Requests()), before)
 		})
 	}
 }
 
+// answerLeaving has the target answer one request and say in the answer that it leaves.
+func (f *fixture) answerLeaving(fault responder.Fault) {
+	f.target.SetFault(fault)
+	f.target.SetHeaders("Server-Leaving: 1\r\n")
+	f.do("last", true)
+}
+
+// TestLeavingOfAnotherIncarnation checks that an answer that says that its target leaves does not take a newer
+// incarnation out of service.
+func TestLeavingOfAnotherIncarnation(t *testing.T) {
+	f := newFixture(t, 2, 100*time.Millisecond)
+	f.target.SetHeaders("Server-Leaving: 1\r\n")
+	var wg sync.WaitGroup
+	wg.Go(func() { f.do("late", true) })
+	time.Sleep(50 * time.Millisecond)
+	f.announcement.ID = "i-2"
+	f.announcement.StartedAtMs++
+	f.announce(1, false)
+	wg.Wait()
+	assert.Assert(t, f.executor.Load().Up)
+}
+
 func (f *fixture) announce(sequence int64, draining bool) {
 	f.announcement.Sequence = sequence
 	f.announcement.Draining = draining
