Bound answers without end from the store and from peers

The users' news on servers in trouble: bytes that are no answer may come without end, in a head or a body. Walked through each reader. Replies of peers were read without a bound for 600 ms; now 1 MB. The small servers of a node bound size and time of a request.

--- a/internal/node/attendant/attendant.go
+++ b/internal/node/attendant/attendant.go
@@ -4,7 +4,6 @@
 import (
 	"context"
 	"io"
-	"net/http"
 	"runtime"
 	"runtime/debug"
 	"strconv"
@@ -57,8 +56,7 @@
 	retryBudgetShare = 0.5
 	// memoryLimitShare is the share of the VM's memory that is set as the runtime's memory limit. Above it the
 	// garbage collector runs regardless of its cost.
-	memoryLimitShare  = 0.6
-	storeMaxIdleConns = 2
+	memoryLimitShare = 0.6
 	// gcPercent trades memory, which costs money, against CPU time. One request, including the work of the stand-ins,
 	// costs 428 us at 50, 351 us at 100 and 313 us at 200, while the peak heap size grows with the value.
 	gcPercent = 100
@@ -111,16 +109,15 @@
 	a.executor.OnStateChange = a.handleTargetState
 	a.executor.OnSend = a.Metrics.NewCounter("target_requests_sent_total").Inc
 	wake := make(chan struct{}, 1)
-	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: storeMaxIdleConns, IdleConnTimeout: 20 * time.Second}}
 	a.watcher = &watcher.Watcher{
-		Store: &platform.Store{Address: cfg.StoreAddress, HTTP: client}, Keeper: a.keeper, Tracker: a.tracker,
+		Store: platform.NewStore(cfg.StoreAddress), Keeper: a.keeper, Tracker: a.tracker,
 		Log: a.Log, Self: cfg.Node, ConfigWait: configPollTimeout, OnOwnMember: a.restoreTarget,
 		SettlePeriod: cfg.Bounds.ConfigApply, MaxSettlePeriod: cfg.Bounds.KeyRevocation,
 		OwnCosts: a.costRecord, OnStoredCosts: a.restoreCosts, OnEra: func() { notify(wake) },
 	}
 	a.poller = &adviser.Poller{
 		Keeper: a.keeper, Tracker: a.tracker, Log: a.Log, PollAfter: scale(cfg.Bounds.KeyRevocation, peerQueryShare), Wake: wake,
-		HTTP: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: 5 * time.Second}},
+		HTTP: adviser.NewHTTPClient(),
 	}
 	a.gateway = a.newGateway(peers)
 	a.reporter = &reporter.Reporter{
--- a/internal/node/attendant/server.go
+++ b/internal/node/attendant/server.go
@@ -29,6 +29,9 @@
 	shutdownIdlePolls    = 3
 	// maxAnnouncementBytes is the maximum size of an announcement's body.
 	maxAnnouncementBytes = 64 << 10
+	// maxControlBytes is the maximum size of the body of a control call, and controlTimeout the maximum time to read it.
+	maxControlBytes = 64 << 10
+	controlTimeout  = 5 * time.Second
 	// recordTimeout is how long the answer to a leaving target is delayed until the departure is stored, so that a
 	// later process of this node also knows of the departure. A target waits up to a second for the answer.
 	recordTimeout = 500 * time.Millisecond
@@ -51,6 +54,13 @@
 	}}
 }
 
+// newControlServer returns a server for small requests, which bounds their size and the time to read them.
+func newControlServer(name, address string, h http.Handler) *server {
+	s := newServer(name, address, http.MaxBytesHandler(h, maxControlBytes))
+	s.http.ReadTimeout = controlTimeout
+	return s
+}
+
 func (s *server) open() error {
 	lc := net.ListenConfig{KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: 2}}
 	l, err := lc.Listen(context.Background(), "tcp4", s.address)
@@ -93,13 +103,13 @@
 	control := http.NewServeMux()
 	control.Handle(adviser.AdviserPathPrefix, (&adviser.Server{Keeper: a.keeper}).Handler())
 	list := []*server{
-		newServer("metrics", cfg.IP+":"+strconv.Itoa(cfg.MetricsPort), http.HandlerFunc(a.writeMetrics)),
-		newServer("control", a.controlAddress(), control),
-		newServer("announcements", cfg.AnnounceListen, announce),
+		newControlServer("metrics", cfg.IP+":"+strconv.Itoa(cfg.MetricsPort), http.HandlerFunc(a.writeMetrics)),
+		newControlServer("control", a.controlAddress(), control),
+		newControlServer("announcements", cfg.AnnounceListen, announce),
 		newServer("peer requests", cfg.InboundListen, &forwarder.Server{Executor: a.executor}),
 		newServer("client requests", cfg.OutboundListen, a.gateway),
 	}
-	return append(list, newServer("readiness", cfg.ReadyListen, ready))
+	return append(list, newControlServer("readiness", cfg.ReadyListen, ready))
 }
 
 func (a *Attendant) writeMetrics(w http.ResponseWriter, _ *http.Request) {
--- a/internal/peer/adviser/adviser.go
+++ b/internal/peer/adviser/adviser.go
@@ -23,8 +23,31 @@
 	// fanOut is the number of nodes queried in parallel. Several are queried, because some of them may be unable
 	// to reach the store as well.
 	fanOut = 3
+	// maxReplyBytes and maxReplyHeaderBytes bound a reply. A configuration is at most as large as a record of the store.
+	maxReplyBytes       = 1 << 20
+	maxReplyHeaderBytes = 64 << 10
 )
 
+// NewHTTPClient returns an HTTP client for Poller that bounds the size of replies.
+func NewHTTPClient() *http.Client {
+	return &http.Client{Transport: boundedTransport{&http.Transport{
+		MaxIdleConnsPerHost: 1, IdleConnTimeout: 5 * time.Second, MaxResponseHeaderBytes: maxReplyHeaderBytes,
+	}}}
+}
+
+// boundedTransport ends the bodies of responses after maxReplyBytes.
+type boundedTransport struct{ http.RoundTripper }
+
+// RoundTrip implements http.RoundTripper.
+func (t boundedTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	resp, err := t.RoundTripper.RoundTrip(r)
+	if err != nil {
+		return nil, err
+	}
+	resp.Body = http.MaxBytesReader(nil, resp.Body, maxReplyBytes)
+	return resp, nil
+}
+
 // Server answers queries from other nodes about the configuration.
 type Server struct {
 	Keeper *keeper.Keeper
--- a/internal/peer/adviser/adviser_test.go
+++ b/internal/peer/adviser/adviser_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync"
@@ -17,6 +16,7 @@
 	"github.com/plantainwheel/plantainwheel/internal/peer/adviser"
 	"github.com/plantainwheel/plantainwheel/internal/route/keeper"
 	"github.com/plantainwheel/plantainwheel/internal/route/matcher"
+	"github.com/plantainwheel/plantainwheel/internal/standin/responder"
 	"gotest.tools/v3/assert"
 )
 
@@ -61,7 +61,7 @@
 			tr := &tracker.Tracker{Self: "own", ReportTimeout: time.Minute}
 			tr.SetMember(tracker.Member{Node: "other", ControlAddress: strings.TrimPrefix(server.URL, "http://")})
 			p := &adviser.Poller{
-				Keeper: own, Tracker: tr, HTTP: &http.Client{}, PollAfter: 3 * time.Second,
+				Keeper: own, Tracker: tr, HTTP: adviser.NewHTTPClient(), PollAfter: 3 * time.Second,
 				Log: &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}},
 			}
 			ctx, cancel := context.WithTimeout(context.Background(), 700*time.Millisecond)
@@ -87,7 +87,7 @@
 	tr.SetMember(tracker.Member{Node: "other", ControlAddress: strings.TrimPrefix(server.URL, "http://")})
 	wake := make(chan struct{}, 1)
 	p := &adviser.Poller{
-		Keeper: own, Tracker: tr, HTTP: &http.Client{}, PollAfter: time.Minute, Wake: wake,
+		Keeper: own, Tracker: tr, HTTP: adviser.NewHTTPClient(), PollAfter: time.Minute, Wake: wake,
 		Log: &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}},
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), 400*time.Millisecond)
@@ -97,3 +97,25 @@
 	_, version := own.Record()
 	assert.Equal(t, version, uint64(4))
 }
+
+// TestEndlessReplies checks that a reply of a peer whose bytes never end is given up within bounded time and memory.
+func TestEndlessReplies(t *testing.T) {
+	for _, fault := range []responder.Fault{
+		responder.EndlessStatus, responder.EndlessHeader, responder.EndlessHeaders, responder.EndlessInterim,
+		responder.EndlessChunks, responder.EndlessUnframed, responder.EndlessTrailer,
+	} {
+		t.Run(string(fault), func(t *testing.T) {
+			peer := &responder.Responder{}
+			address, err := peer.Open()
+			assert.NilError(t, err)
+			defer peer.Close()
+			peer.SetFault(fault)
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			defer cancel()
+			_, err = adviser.NewAdviserProtobufClient("http://"+address, adviser.NewHTTPClient()).Advise(ctx, &adviser.AdviseRequest{})
+			assert.Assert(t, err != nil)
+			time.Sleep(200 * time.Millisecond)
+			assert.Assert(t, peer.SentBytes() < 8<<20, "%d bytes sent", peer.SentBytes())
+		})
+	}
+}
--- a/internal/standin/responder/responder.go
+++ b/internal/standin/responder/responder.go
@@ -47,6 +47,8 @@
 	Failed Fault = "failed"
 	// Misdirected rejects the request as one for another incarnation.
 	Misdirected Fault = "misdirected"
+	// LongBody responds with a body of LongBodyBytes.
+	LongBody Fault = "long-body"
 	// The remaining faults send bytes until the connection is closed.
 
 	// EndlessStatus never ends the status line.
@@ -65,6 +67,9 @@
 	EndlessExtra Fault = "endless-extra"
 )
 
+// LongBodyBytes is the length of the body of LongBody.
+const LongBodyBytes = 8 << 20
+
 // endless holds for each endless fault what precedes the bytes that are repeated, after the status line, and these
 // bytes.
 var endless = map[Fault]struct{ before, repeated string }{
@@ -224,6 +229,8 @@
 	switch f {
 	case Failed:
 		return write(c, strings.Replace(responseHead(id, "Content-Length: 2\r\n"), "200 OK", "500 Failed", 1)+"no")
+	case LongBody:
+		return write(c, responseHead(id, fmt.Sprint("Content-Length: ", LongBodyBytes, "\r\n"))+strings.Repeat("x", LongBodyBytes))
 	case Misdirected:
 		return write(c, strings.Replace(responseHead(id, "Content-Length: 2\r\n"), "200 OK", "421 Misdirected", 1)+"no")
 	case Reset:
@@ -278,11 +285,15 @@
 	case EndlessInterim:
 		before, repeated = "", "HTTP/1.1 103 Early Hints\r\n\r\n"
 	}
-	block := strings.Repeat(repeated, 1<<10)
-	for text := before; write(c, text); text = block {
+	block := []byte(strings.Repeat(repeated, 1<<10))
+	for next := []byte(before); ; next = block {
+		n, err := c.Write(next)
 		r.mu.Lock()
-		r.sentBytes += len(text)
+		r.sentBytes += n
 		r.mu.Unlock()
+		if err != nil {
+			return
+		}
 	}
 }
 
