Make the soak's restore find a broken fix

Trials with one fix taken out at a time showed that the soak did not find them: readers that were waiting saw the change made while the store was away, so that one lost offset too few was reused; nodes were started before the return, not on the copy; the time until lost records are written again overflowed and was none; faults after the restore hid what it had lost. Now the copy is 1 to 5 s old, the number of changes varies by that one, all nodes are started on the copy in the odd cases, and revoked keys that are recent are tried more often.

--- a/internal/soak/injector/injector.go
+++ b/internal/soak/injector/injector.go
@@ -77,7 +77,9 @@
 	repeatProbability = 0.3
 	// maxRewriteDelay is the maximum time after a restore of the store until the operator has written the lost records
 	// again.
-	maxRewriteDelay = time.Second
+	maxRewriteDelay = 1800 * time.Millisecond
+	// minCopyAge is the minimum time between the copy and the loss of the store.
+	minCopyAge = time.Second
 	// minLimitTime is added to the duration of a target's limit, which is checked only some seconds after it was named.
 	minLimitTime = 6 * time.Second
 	// maxLimit is the highest limit that a target names, in requests per second.
@@ -164,7 +166,9 @@
 		time.Sleep(s.For)
 		n.Resume()
 	case KillAll:
-		inj.killAll(s.For / 4)
+		inj.killAll()
+		time.Sleep(s.For / 4)
+		inj.startAll()
 	case DrainTarget, CrashTarget, LeaveTarget:
 		inj.replaceTarget(n, s)
 	case DropResponses:
@@ -196,24 +200,30 @@
 	}
 }
 
-// restoreStore takes the store away for up to a second and restores it from a copy that is up to four seconds older.
-// Keys are revoked before and while the store is away. Then either the operator writes the lost records again and
-// revokes a key, or it makes so many changes at once that they take up all lost offsets before a node reads again.
+// restoreStore takes the store away for up to a second and restores it from a copy that is up to five seconds older. A
+// key is revoked right after the copy was made and one while the store is away. In one half of the cases the operator
+// makes so many changes at once that they take up the lost offsets up to the position of the nodes. In the other half
+// all nodes are started on the copy, and the operator writes the lost records again.
 func (inj *Injector) restoreStore(duration time.Duration) {
+	copiedAt := time.Now()
 	inj.RevokeKey()
-	time.Sleep(duration / 8)
-	copiedAt := time.Now().Add(-duration / 2)
+	time.Sleep(minCopyAge + duration/2)
+	changes := duration%2 == 0
+	if !changes {
+		inj.killAll()
+	}
 	inj.breakStore(storer.Faults{Hang: true}, duration/8)
 	lost := inj.Fleet.Store.Restore(copiedAt)
-	if duration%2 == 0 {
-		for range lost {
+	if changes {
+		// The change made while the store was away may have reached the nodes that were waiting for one.
+		for range max(len(lost)-int(duration/2)%2, 1) {
 			inj.RevokeKey()
 		}
 		return
 	}
-	time.Sleep(maxRewriteDelay * duration / maxDuration)
+	inj.startAll()
+	time.Sleep(time.Duration(float64(maxRewriteDelay) * duration.Seconds() / maxDuration.Seconds()))
 	inj.Fleet.Store.WriteAgain(lost, copiedAt)
-	inj.RevokeKey()
 }
 
 // replaceTarget stops the target and then starts the next incarnation on the same address, which the old incarnation
@@ -249,11 +259,13 @@
 	inj.Fleet.Store.SetFaults(storer.Faults{})
 }
 
-func (inj *Injector) killAll(downtime time.Duration) {
+func (inj *Injector) killAll() {
 	for i := range inj.Nodes {
 		inj.Fleet.Node(i).Kill()
 	}
-	time.Sleep(downtime)
+}
+
+func (inj *Injector) startAll() {
 	for i := range inj.Nodes {
 		inj.Disturbed(i)
 		inj.startNode(inj.Fleet.Node(i))
--- a/internal/soak/injector/injector_test.go
+++ b/internal/soak/injector/injector_test.go
@@ -39,12 +39,27 @@
 	assert.NilError(t, err)
 	for line := range strings.Lines(string(raw)) {
 		text, cause, _ := strings.Cut(strings.TrimSpace(line), "#")
-		if strings.TrimSpace(text) == "" {
+		fields := strings.Fields(text)
+		if len(fields) == 0 {
 			continue
 		}
-		seed, err := strconv.ParseUint(strings.TrimSpace(text), 10, 64)
+		assert.Equal(t, len(fields), 2, line)
+		seed, err := strconv.ParseUint(fields[0], 10, 64)
 		assert.NilError(t, err)
-		soak(t, &injector.Soak{Program: program, Seed: seed, Nodes: 4, FaultPeriod: 8 * time.Second, Kinds: injector.BaseKinds}, cause)
+		s := &injector.Soak{Program: program, Seed: seed, Nodes: 4, FaultPeriod: 8 * time.Second, Kinds: kindsOf(fields[1])}
+		soak(t, s, cause)
+	}
+}
+
+// kindsOf returns the kinds of faults that a line of testdata/seeds.txt names.
+func kindsOf(name string) []injector.Kind {
+	switch name {
+	case "base":
+		return injector.BaseKinds
+	case "all":
+		return injector.AllKinds
+	default:
+		return []injector.Kind{injector.Kind(name)}
 	}
 }
 
--- a/internal/soak/injector/soak.go
+++ b/internal/soak/injector/soak.go
@@ -32,6 +32,8 @@
 	minSuccessRatio = 0.9
 	// sendInterval is the time between two requests of a client. Each node has one client per client account.
 	sendInterval = 40 * time.Millisecond
+	// recentKeys is the number of the latest revoked keys that are tried more often than the others.
+	recentKeys = 3
 	// startupTimeout is the maximum time until all nodes of a started fleet serve requests.
 	startupTimeout = 10 * time.Second
 )
@@ -211,11 +213,12 @@
 			s.mu.Lock()
 			key := s.keys[account]
 			if n%4 == 0 && account == rotatingAccount {
-				// A quarter of the requests use a revoked key: the latest one and any of them by turns.
-				key = s.revokedKeys[len(s.revokedKeys)-1]
+				// A quarter of the requests use a revoked key: one of the latest and any of them by turns.
+				recent := s.revokedKeys
 				if n%8 == 0 {
-					key = s.revokedKeys[rand.IntN(len(s.revokedKeys))]
+					recent = recent[max(len(recent)-recentKeys, 0):]
 				}
+				key = recent[rand.IntN(len(recent))]
 			}
 			s.mu.Unlock()
 			wg.Go(func() { s.sendRequest(context.WithoutCancel(ctx), client, node, account, key, n%2 == 0) })
