--- a/internal/node/attendant/attendant.go
+++ b/internal/node/attendant/attendant.go
@@ -51,6 +51,8 @@
 	// the served ones. A line costs about 3 us, so that logging uses less than a thousandth of a core.
 	refusedLinesPerSecond = 20
 	servedLinesPerSecond  = 2
+	// targetLinesPerSecond limits the log lines on what the target says in its answers, which may change with each.
+	targetLinesPerSecond = 2
 	// retryBudgetShare is the share of the fleet's retry budget that nodes use. The rest is left unused because a
 	// retry also counts as a retry at the services that its child calls reach.
 	retryBudgetShare = 0.5
@@ -82,6 +84,8 @@
 	cancel     context.CancelFunc
 	background sync.WaitGroup
 	publishMu  sync.Mutex
+	// targetLogLimiter limits the log lines on what the target says in its answers.
+	targetLogLimiter loglimiter.Limiter
 
 	// planMu guards the results of the last plan. No other lock is acquired while it is held.
 	planMu        sync.Mutex
@@ -100,6 +104,7 @@
 	cfg := &a.Settings
 	a.Metrics = metrics.NewSet()
 	a.admittedShare = 1
+	a.targetLogLimiter.PerSecond = targetLinesPerSecond
 	a.keeper = &keeper.Keeper{Decode: platform.DecodeConfig}
 	a.tracker = &tracker.Tracker{Self: cfg.Node, DataCentre: cfg.DataCentre, ReportTimeout: nodeSilenceTimeout}
 	targets := &transporter.Pool{IdleTimeout: targetIdleTimeout, OnDial: a.Metrics.NewCounter("target_connections_opened_total").Inc}
--- a/internal/node/attendant/report.go
+++ b/internal/node/attendant/report.go
@@ -53,16 +53,21 @@
 
 // handleTargetState logs what the target's answers newly say about its state, and publishes that the target leaves.
 func (a *Attendant) handleTargetState(s platform.TargetState) {
+	if s.Leaving {
+		a.publish()
+	}
+	ok, dropped := a.targetLogLimiter.Allow(time.Now())
+	if !ok {
+		return
+	}
 	a.Log.Info().
 		Str("target", a.executor.Target().ID).
 		Bool("limited", s.LimitNamed).
 		Float64("limit", s.Limit).
 		Bool("malformed", s.LimitMalformed).
 		Bool("leaving", s.Leaving).
+		Int("lines-left-out", dropped).
 		Msg("target state changed")
-	if s.Leaving {
-		a.publish()
-	}
 }
 
 // urgentLoad is the load per slot above which reports are sent at the urgent interval.
--- a/internal/platform/watcher/topic.go
+++ b/internal/platform/watcher/topic.go
@@ -145,7 +145,11 @@
 // restart reads the newest record of each key.
 func (t *topic) restart(ctx context.Context) error {
 	if era, _ := t.eras.current(); t.restartedOnce && t.era != era && t.restartSpread != nil {
-		time.Sleep(rand.N(t.restartSpread()))
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(rand.N(t.restartSpread())):
+		}
 	}
 	sentAt := timekeeper.SinceBoot()
 	ctx, cancel := context.WithTimeout(ctx, newestTimeout)
