Keep one record of whether an era was vouched for

eras held a second flag beside the settler's own; it is asked for now. No change of behaviour; tests of watcher and settler pass with the race detector.

--- a/internal/platform/watcher/eras.go
+++ b/internal/platform/watcher/eras.go
@@ -16,8 +16,6 @@
 	mu      sync.Mutex
 	settler settler.Settler
 	latest  platform.Era
-	// vouched is set if another node has found the latest era settled.
-	vouched bool
 	// ended is cancelled when a later era begins.
 	ended context.Context
 	end   context.CancelFunc
@@ -37,7 +35,7 @@
 		return era == e.latest
 	}
 	e.settler.Observe(timekeeper.SinceBoot(), int64(era))
-	e.latest, e.vouched = era, false
+	e.latest = era
 	e.end()
 	e.ended, e.end = context.WithCancel(context.Background())
 	return true
@@ -55,13 +53,12 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.settler.Vouch(timekeeper.SinceBoot(), int64(era))
-	e.vouched = e.vouched || era == e.latest
 }
 
 func (e *eras) isVouched() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.vouched
+	return e.settler.Vouched()
 }
 
 // setBehind records whether the store lacks a configuration that it has acknowledged.
--- a/internal/policy/settler/settler.go
+++ b/internal/policy/settler/settler.go
@@ -42,6 +42,9 @@
 	}
 }
 
+// Vouched reports whether another node has found the present era settled.
+func (s *Settler) Vouched() bool { return s.vouched }
+
 // SetBehind records whether the store lacks a record that is known to have been acknowledged.
 func (s *Settler) SetBehind(behind bool) { s.behind = behind }
 
