Run TestNamedLimit in fake time

Cause, traced with the reason of each refused step printed, in 15 runs beside 12 busy processes with GOMAXPROCS=2: the script's second answer, which names the lower limit, was sent with a maximum wait of 50 ms, and waiting requests begin on a tick of 50 ms. A tick that is 1 ms late refuses the request (waited-too-long, in each of the 15 runs in one case, in one run in a second case), so the target had not named the lower limit when the load began. The same runs, without GOMAXPROCS, were red 8 times of 15 in burst-waiting-when-the-limit-is-named (31 to 63 requests, 30 allowed): the burst took longer than 50 ms to start and was counted as load. In both cases the requests began before the target had named the limit, which no rule bounds.

Ruled out: the pacer. It is a function of values, TestWindows bounds it for random arrivals, and the counts are explained without it.

Change: the script runs in fake time on connections in memory, so that a step ends before the next begins, and a step "answer" fails unless the target answers. Bounds and cases are unchanged.

--- a/internal/route/transporter/transporter.go
+++ b/internal/route/transporter/transporter.go
@@ -96,6 +96,8 @@
 	IdleTimeout time.Duration
 	// OnDial, if set, is called each time a connection is opened.
 	OnDial func()
+	// Dial, if set, opens the connections.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
 	once      sync.Once
 	transport *http.Transport
@@ -125,10 +127,14 @@
 
 // start initialises the pool.
 func (p *Pool) start() {
-	dialer := &net.Dialer{
-		Timeout:         dialTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount},
-		Control:         setUserTimeout,
+	dial := p.Dial
+	if dial == nil {
+		dialer := &net.Dialer{
+			Timeout:         dialTimeout,
+			KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount},
+			Control:         setUserTimeout,
+		}
+		dial = dialer.DialContext
 	}
 	p.idle = map[string][]*pooledConn{}
 	p.transport = &http.Transport{
@@ -137,7 +143,7 @@
 		ReadBufferSize:         bufferBytes,
 		WriteBufferSize:        bufferBytes,
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			conn, err := dialer.DialContext(ctx, network, address)
+			conn, err := dial(ctx, network, address)
 			if err != nil {
 				return nil, err
 			}
--- a/internal/standin/responder/responder.go
+++ b/internal/standin/responder/responder.go
@@ -113,14 +113,15 @@
 		return "", fmt.Errorf("listen: %w", err)
 	}
 	r.listener = l
-	r.conns = map[net.Conn]bool{}
 	r.done.Go(r.accept)
 	return l.Addr().String(), nil
 }
 
 // Close crashes the target: it closes the listener and all connections.
 func (r *Responder) Close() {
-	_ = r.listener.Close()
+	if r.listener != nil {
+		_ = r.listener.Close()
+	}
 	r.mu.Lock()
 	for c := range r.conns {
 		_ = c.Close()
@@ -177,11 +178,19 @@
 		if err != nil {
 			return
 		}
-		r.mu.Lock()
-		r.conns[c] = true
-		r.mu.Unlock()
-		r.done.Go(func() { r.serve(c) })
+		r.Serve(c)
+	}
+}
+
+// Serve starts to serve one connection.
+func (r *Responder) Serve(c net.Conn) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.conns == nil {
+		r.conns = map[net.Conn]bool{}
 	}
+	r.conns[c] = true
+	r.done.Go(func() { r.serve(c) })
 }
 
 func (r *Responder) serve(c net.Conn) {
--- a/internal/target/executor/executor_test.go
+++ b/internal/target/executor/executor_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"log"
+	"net"
 	"net/http"
 	"os"
 	"sync"
@@ -36,9 +37,26 @@
 	target := &responder.Responder{ServiceTime: serviceTime}
 	address, err := target.Open()
 	assert.NilError(t, err)
+	return connect(t, target, &transporter.Pool{IdleTimeout: time.Minute}, address, slots)
+}
+
+// newPipeFixture is newFixture with connections in memory.
+func newPipeFixture(t *testing.T, slots int, serviceTime time.Duration) *fixture {
+	t.Helper()
+	target := &responder.Responder{ServiceTime: serviceTime}
+	pool := &transporter.Pool{IdleTimeout: time.Minute, Dial: func(context.Context, string, string) (net.Conn, error) {
+		client, server := net.Pipe()
+		target.Serve(server)
+		return client, nil
+	}}
+	return connect(t, target, pool, "target:80", slots)
+}
+
+func connect(t *testing.T, target *responder.Responder, pool *transporter.Pool, address string, slots int) *fixture {
+	t.Helper()
 	t.Cleanup(target.Close)
-	f := &fixture{t: t, target: target, executor: executor.New(&transporter.Pool{IdleTimeout: time.Minute})}
-	t.Cleanup(f.executor.Pool.Close)
+	f := &fixture{t: t, target: target, executor: executor.New(pool)}
+	t.Cleanup(pool.Close)
 	f.announcement = platform.Announcement{ID: "i-1", Service: "print", Address: address, Slots: slots, Sequence: 1, StartedAtMs: 1000}
 	f.executor.Announce(f.announcement)
 	return f
--- a/internal/target/executor/limit_test.go
+++ b/internal/target/executor/limit_test.go
@@ -8,52 +8,63 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/plantainwheel/plantainwheel/internal/policy/queuer"
+	"github.com/plantainwheel/plantainwheel/internal/route/transporter"
 	"github.com/plantainwheel/plantainwheel/internal/standin/responder"
+	"github.com/plantainwheel/plantainwheel/internal/target/executor"
 	"gotest.tools/v3/assert"
 )
 
 const (
 	limitTestSlots = 60
 	limitTestWait  = 50 * time.Millisecond
-	loadWorkers    = 20
+	// answerWait is the maximum wait of a request that must be answered.
+	answerWait  = time.Second
+	loadWorkers = 20
 )
 
 // limitScript runs one case of testdata/limits.txt.
 type limitScript struct {
 	*fixture
-	sent  atomic.Int64
-	begun int
+	background sync.WaitGroup
+	sent       atomic.Int64
+	begun      int
 }
 
-// TestNamedLimit guards against a target that gets more requests than the limit that it names in its answers.
+// TestNamedLimit guards against a target that gets more requests than the limit that it names in its answers. It runs
+// in fake time, because the steps must not overlap.
 func TestNamedLimit(t *testing.T) {
 	raw, err := os.ReadFile("testdata/limits.txt")
 	assert.NilError(t, err)
 	for _, text := range strings.Split(string(raw), "\n[")[1:] {
 		name, steps, _ := strings.Cut(text, "]\n")
 		t.Run(strings.ReplaceAll(name, " ", "-"), func(t *testing.T) {
-			t.Parallel()
-			s := &limitScript{fixture: newFixture(t, limitTestSlots, time.Millisecond)}
-			go s.tick()
-			for step := range strings.Lines(steps) {
-				verb, rest, _ := strings.Cut(strings.TrimSpace(step), " ")
-				if verb != "" {
-					s.run(verb, rest)
-				}
-			}
+			synctest.Test(t, func(t *testing.T) { runLimitScript(t, steps) })
 		})
 	}
 }
 
+func runLimitScript(t *testing.T, steps string) {
+	s := &limitScript{fixture: newPipeFixture(t, limitTestSlots, time.Millisecond)}
+	t.Cleanup(s.background.Wait)
+	s.background.Go(s.tick)
+	for step := range strings.Lines(steps) {
+		verb, rest, _ := strings.Cut(strings.TrimSpace(step), " ")
+		if verb != "" {
+			s.run(verb, rest)
+		}
+	}
+}
+
 // run performs one step:
 //
 //	headers LINE      subsequent answers have the header line
 //	fault FAULT       subsequent answers have the fault
 //	slow TIME         requests take the time
-//	answer            one request is sent and answered
+//	answer            one request is sent and the target answers it
 //	pause TIME        waits
 //	incarnation       a new incarnation of the target announces itself
 //	load, calls TIME  requests, or calls of running requests, are sent as fast as they are answered
@@ -72,7 +83,8 @@
 	case "slow":
 		s.target.SetServiceTime(duration(s.t, rest))
 	case "answer":
-		s.send(0)
+		a := s.send(0, answerWait)
+		assert.Assert(s.t, !a.NotRun || a.Reason == executor.ReasonTargetShed, a.Reason)
 	case "pause":
 		time.Sleep(duration(s.t, rest))
 	case "incarnation":
@@ -99,12 +111,15 @@
 	}
 }
 
-func (s *limitScript) send(rank int) {
+func (s *limitScript) send(rank int, maxWait time.Duration) *transporter.Answer {
 	job := s.job(fmt.Sprint(s.sent.Add(1)), true)
 	job.ExpectedIncarnation = ""
 	job.Rank = rank
-	job.MaxWait = limitTestWait
-	s.executor.Do(s.t.Context(), job).Release()
+	job.MaxWait = maxWait
+	job.Deadline = job.Deadline.Add(maxWait)
+	a := s.executor.Do(s.t.Context(), job)
+	a.Release()
+	return a
 }
 
 // load sends requests from several workers for the given time.
@@ -119,7 +134,7 @@
 	for range loadWorkers {
 		wg.Go(func() {
 			for time.Now().Before(end) {
-				s.send(rank)
+				s.send(rank, limitTestWait)
 				time.Sleep(time.Millisecond)
 			}
 		})
@@ -132,7 +147,7 @@
 // are not counted, because no answer has named the limit yet.
 func (s *limitScript) burst(n int) {
 	for range n {
-		go s.send(0)
+		s.background.Go(func() { s.send(0, limitTestWait) })
 	}
 	time.Sleep(limitTestWait)
 }
