Show how floods pass a client account's rate limit

The simulated nodes exchanged all usages each 200 ms. The reporter does so only while a node knows of much usage (each second otherwise), and a report of 79 nodes with 82 accounts takes some 65 KB to all destinations, that is 2.2 s of the bandwidth of 30,000 bytes a second that a node gives to reports. The fleet now reports as the reporter does.

The tests that were there stay green.

--- a/internal/policy/windowlimiter/windowlimiter_test.go
+++ b/internal/policy/windowlimiter/windowlimiter_test.go
@@ -17,7 +17,14 @@
 	toleranceExtra  = 20
 )
 
-// fleet simulates nodes that report their usage to each other every 200 ms.
+// Times of the reports: period without an urgent reason, urgentPeriod with one, and checkPeriod between two checks.
+const (
+	period       = time.Second
+	urgentPeriod = 200 * time.Millisecond
+	checkPeriod  = 50 * time.Millisecond
+)
+
+// fleet simulates nodes that report their usage to each other as the reporter does.
 type fleet struct {
 	t        *testing.T
 	rng      *rand.Rand
@@ -33,6 +40,10 @@
 	// reports.
 	weights  []float64
 	isolated map[int]bool
+	// reportedAt holds the time of each node's latest report. minPeriod is the minimum time between two reports that
+	// keeps a large fleet within its bandwidth.
+	reportedAt []time.Duration
+	minPeriod  time.Duration
 }
 
 func newFleet(t *testing.T, seed uint64, n int, limit windowlimiter.Limit) *fleet {
@@ -40,14 +51,22 @@
 	for range n {
 		f.nodes = append(f.nodes, &windowlimiter.Limiter{Window: window})
 		f.weights = append(f.weights, f.rng.Float64()+0.1)
+		f.reportedAt = append(f.reportedAt, f.now-time.Duration(f.rng.Float64()*float64(period)))
 	}
-	f.exchange()
 	return f
 }
 
 func (f *fleet) exchange() {
 	for i, from := range f.nodes {
 		from.SetNodes(len(f.nodes))
+		due := period
+		if from.NearLimit(f.now) {
+			due = urgentPeriod
+		}
+		if f.now-f.reportedAt[i] < max(due, f.minPeriod) {
+			continue
+		}
+		f.reportedAt[i] = f.now
 		for account, usage := range from.Usages(f.now) {
 			for j, to := range f.nodes {
 				if i != j && !f.isolated[i] && !f.isolated[j] {
@@ -66,7 +85,7 @@
 	}
 	const step = 10 * time.Millisecond
 	for end := f.now + span; f.now < end; f.now += step {
-		if f.now%(200*time.Millisecond) == 0 {
+		if f.now%checkPeriod == 0 {
 			f.exchange()
 		}
 		for i, n := range f.nodes {
@@ -89,6 +108,13 @@
 	return offered, refused
 }
 
+// startTogether makes all nodes report at the same times, as after a common start.
+func (f *fleet) startTogether() {
+	for i := range f.reportedAt {
+		f.reportedAt[i] = f.now
+	}
+}
+
 // check finds the window with the most admitted requests and compares it with the bound.
 func (f *fleet) check() {
 	f.t.Helper()
@@ -128,6 +154,36 @@
 	}
 }
 
+// TestFloodAfterPause checks the bound for a flood that begins when nothing of the account has been admitted in the
+// window, so that the nodes have had no reason to report often.
+func TestFloodAfterPause(t *testing.T) {
+	for seed := range uint64(10) {
+		for _, n := range []int{5, 14, 40} {
+			for _, limit := range []windowlimiter.Limit{shop, small, {Rate: 20, Burst: 20}} {
+				f := newFleet(t, seed, n, limit)
+				f.run(6*time.Second, 0.62*limit.Rate)
+				f.run(6*time.Second, 0)
+				f.startTogether()
+				f.run(8*time.Second, 7.5*limit.Rate)
+				f.check()
+			}
+		}
+	}
+}
+
+// TestFloodOnLargeFleet checks the bound where the reports of all accounts are too large to be sent often.
+func TestFloodOnLargeFleet(t *testing.T) {
+	for seed := range uint64(5) {
+		for _, limit := range []windowlimiter.Limit{{Rate: 420, Burst: 420}, shop, small} {
+			f := newFleet(t, seed, 79, limit)
+			f.minPeriod = 2200 * time.Millisecond
+			f.run(6*time.Second, 0.62*limit.Rate)
+			f.run(8*time.Second, 7.5*limit.Rate)
+			f.check()
+		}
+	}
+}
+
 // TestWithinRate checks that hardly any request within the rate is refused, for accounts with few
 // requests that are spread unevenly over many nodes.
 func TestWithinRate(t *testing.T) {
