Report the use of rate limits as soon as it changes

Cause: nodes did not know in time what the others had admitted. 1. A node reported each second until it knew that a third of the window's limit was used. A flood that begins on all nodes at once, after a pause in which nobody admitted anything, spends the whole window within that second. 2. A report carries everything. With 79 nodes and 82 accounts it takes some 65 KB to all destinations, and a node may send 30,000 bytes a second, so urgent reports left each 2.2 s, not each 0.2 s.

Ruled out: the estimate of what others have not yet reported. It holds where reports come each 200 ms, as the earlier simulation shows; only there they always came.

Change: the use of rate limits is also sent on its own, for the accounts whose use the fleet would know wrongly if all nodes had changed as this one has since its latest report (by 4% of the window and 4 requests, or by 30% of the rate in demand near the limit), at most each 200 ms and within a bandwidth of its own. Reports no longer become urgent for an account near its limit.

--- a/internal/caller/gateway/limits.go
+++ b/internal/caller/gateway/limits.go
@@ -62,18 +62,22 @@
 func (l *RateLimits) AccountUsages() []tracker.AccountUsage {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	var out []tracker.AccountUsage
-	for name, u := range l.limiter.Usages(timekeeper.SinceBoot()) {
-		out = append(out, tracker.AccountUsage{Account: name, Admitted: float32(u.Admitted), Demand: float32(u.Demand)})
-	}
-	return out
+	return accountUsages(l.limiter.Usages(timekeeper.SinceBoot()))
 }
 
-// NearLimit reports whether any account is close to its limit.
-func (l *RateLimits) NearLimit() bool {
+// UnreportedUsages returns the account usages that this node must report to the others soon.
+func (l *RateLimits) UnreportedUsages() []tracker.AccountUsage {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.limiter.NearLimit(timekeeper.SinceBoot())
+	return accountUsages(l.limiter.UnreportedUsages(timekeeper.SinceBoot()))
+}
+
+func accountUsages(usages map[string]windowlimiter.Usage) []tracker.AccountUsage {
+	var out []tracker.AccountUsage
+	for name, u := range usages {
+		out = append(out, tracker.AccountUsage{Account: name, Admitted: float32(u.Admitted), Demand: float32(u.Demand)})
+	}
+	return out
 }
 
 // Shedder sheds load where requests enter the fleet, and splits the requests of a route among its services. It is safe
--- a/internal/fleet/tracker/tracker.go
+++ b/internal/fleet/tracker/tracker.go
@@ -114,6 +114,9 @@
 	Member
 	report   Report
 	lastSeen time.Time
+	// usagesStarted and usagesSequence are those of the latest report with account usages.
+	usagesStarted  int64
+	usagesSequence uint64
 	// outstanding counts the requests sent to the node and not answered yet. loadOutstanding is the value of
 	// outstanding at loadUpdatedAt.
 	outstanding     int
@@ -176,6 +179,19 @@
 	return true
 }
 
+// ApplyUsages records that a report of the node has account usages. It returns false if the node is unknown or they are
+// not newer than those of another report.
+func (t *Tracker) ApplyUsages(node string, started int64, sequence uint64) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p, ok := t.peers[node]
+	if !ok || cmp.Or(cmp.Compare(started, p.usagesStarted), cmp.Compare(sequence, p.usagesSequence)) <= 0 {
+		return false
+	}
+	p.usagesStarted, p.usagesSequence = started, sequence
+	return true
+}
+
 func (p *peer) setLoad(now time.Time, running, waiting, limit int) {
 	p.running = running
 	p.waiting = waiting
--- a/internal/node/attendant/attendant.go
+++ b/internal/node/attendant/attendant.go
@@ -127,7 +127,7 @@
 	a.gateway = a.newGateway(peers)
 	a.reporter = &reporter.Reporter{
 		Listen: cfg.IP + ":" + strconv.Itoa(cfg.ReportPort), Tracker: a.tracker, Urgent: a.urgent, BuildReport: a.buildReport,
-		OnReport: a.handleReport,
+		BuildUsages: a.gateway.RateLimits.UnreportedUsages, OnUsages: a.gateway.RateLimits.Receive,
 	}
 	a.servers = a.newServers()
 	debug.SetGCPercent(gcPercent)
--- a/internal/node/attendant/report.go
+++ b/internal/node/attendant/report.go
@@ -80,10 +80,10 @@
 // the demand that enters at a new node, and after a loss of all nodes each node knows only its own demand.
 const startupUrgentPeriod = 3 * time.Second
 
-// urgent reports whether reports must be sent at the urgent interval: the target or a client account is close to
-// its limit, or the node has just started.
+// urgent reports whether reports must be sent at the urgent interval: the target is close to its limit, or the node has
+// just started.
 func (a *Attendant) urgent() bool {
-	if time.Since(a.started) < startupUrgentPeriod || a.gateway.RateLimits.NearLimit() || a.executor.Load().Mean > urgentLoad {
+	if time.Since(a.started) < startupUrgentPeriod || a.executor.Load().Mean > urgentLoad {
 		return true
 	}
 	a.planMu.Lock()
@@ -162,11 +162,6 @@
 	return a.tracker.LiveCount(now)
 }
 
-// handleReport passes the account usages in another node's report to the rate limits.
-func (a *Attendant) handleReport(r *tracker.Report) {
-	a.gateway.RateLimits.Receive(r.Node, r.AccountUsages)
-}
-
 // memberRecord returns the member record of this node.
 func (a *Attendant) memberRecord() tracker.Member {
 	cfg := &a.Settings
--- a/internal/peer/reporter/reporter.go
+++ b/internal/peer/reporter/reporter.go
@@ -3,6 +3,8 @@
 // A report is sent to each node of the same data centre and to one node of each other data centre, which relays
 // it to the nodes of its own, because traffic between data centres is billed by volume. The relay is chosen at
 // random for each report, so that a node that is down loses only some of the reports to its data centre.
+//
+// The use of rate limits changes fast and is small, so it is also sent on its own between two reports.
 package reporter
 
 import (
@@ -21,16 +23,17 @@
 
 const (
 	// Period is the time between two reports. UrgentPeriod replaces it while Reporter.Urgent returns true, for
-	// example while the target or a client account is close to its limit.
+	// example while the target is close to its limit. It is also the minimum time between two usage reports.
 	Period       = time.Second
 	UrgentPeriod = 200 * time.Millisecond
 	// checkInterval is how often to check whether a report is due.
 	checkInterval = 50 * time.Millisecond
 	// maxReportBytes limits the encoded size of a report. A larger report is not sent.
 	maxReportBytes = 60 << 10
-	// maxBytesPerSecond limits the bandwidth that a node uses for its own reports. To stay below it, a node of a
-	// large fleet sends reports less often.
-	maxBytesPerSecond = 30_000
+	// maxBytesPerSecond limits the bandwidth that a node uses for its own reports, maxUsageBytesPerSecond that for
+	// usage reports. To stay below it, a node of a large fleet sends reports less often.
+	maxBytesPerSecond      = 30_000
+	maxUsageBytesPerSecond = 20_000
 )
 
 // Datagram kinds, encoded in the first byte.
@@ -38,6 +41,9 @@
 	kindDirect = 0
 	// kindRelay asks the receiver to forward the report to the other nodes of its data centre.
 	kindRelay = 1
+	// kindUsage and kindUsageRelay are the same for usage reports.
+	kindUsage      = 2
+	kindUsageRelay = 3
 )
 
 // Reporter exchanges reports with the other nodes.
@@ -49,9 +55,11 @@
 	Urgent func() bool
 	// BuildReport returns this node's report.
 	BuildReport func() tracker.Report
-	// OnReport is called with each received report that is newer than the previous one from the same node. Reports
-	// from unknown nodes are ignored.
-	OnReport func(*tracker.Report)
+	// BuildUsages returns the account usages that the other nodes need soon, if any.
+	BuildUsages func() []tracker.AccountUsage
+	// OnUsages is called with the account usages of each received report that is newer than the previous one from the
+	// same node. Reports from unknown nodes are ignored.
+	OnUsages func(node string, usages []tracker.AccountUsage)
 
 	conn    *net.UDPConn
 	handle  codec.MsgpackHandle
@@ -61,6 +69,14 @@
 	sequence uint64
 }
 
+// usageReport reports the account usages that have changed since the latest report.
+type usageReport struct {
+	Node          string
+	Started       int64
+	Sequence      uint64
+	AccountUsages []tracker.AccountUsage
+}
+
 // Open opens the UDP socket.
 func (r *Reporter) Open() error {
 	addr, err := net.ResolveUDPAddr("udp4", r.Listen)
@@ -86,19 +102,26 @@
 	}()
 	ticker := time.NewTicker(checkInterval)
 	defer ticker.Stop()
-	var last time.Time
-	minPeriod := time.Duration(0)
+	var last, lastUsage time.Time
+	var minPeriod, minUsagePeriod time.Duration
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
-			if now.Sub(last) < r.period(minPeriod) {
+			if now.Sub(last) >= r.period(minPeriod) {
+				last, lastUsage = now, now
+				report := r.BuildReport()
+				minPeriod = time.Duration(r.send(&report)) * time.Second / maxBytesPerSecond
 				continue
 			}
-			last = now
-			report := r.BuildReport()
-			minPeriod = time.Duration(r.send(&report)) * time.Second / maxBytesPerSecond
+			if now.Sub(lastUsage) < max(UrgentPeriod, minUsagePeriod) {
+				continue
+			}
+			if usages := r.BuildUsages(); len(usages) > 0 {
+				lastUsage = now
+				minUsagePeriod = time.Duration(r.sendUsages(usages)) * time.Second / maxUsageBytesPerSecond
+			}
 		}
 	}
 }
@@ -139,22 +162,34 @@
 	return list
 }
 
-// send sends the report to all destinations and returns the total number of bytes, or 0 if the report cannot be
-// encoded within maxReportBytes.
+// send sends the report to all destinations and returns the total number of bytes.
 func (r *Reporter) send(report *tracker.Report) int {
 	r.sequence++
 	report.Started = r.started
 	report.Sequence = r.sequence
 	r.Tracker.ApplyReport(time.Now(), report)
-	raw := []byte{kindDirect}
+	return r.broadcast(kindDirect, report)
+}
+
+// sendUsages sends the account usages to all destinations and returns the total number of bytes.
+func (r *Reporter) sendUsages(usages []tracker.AccountUsage) int {
+	r.sequence++
+	return r.broadcast(kindUsage, &usageReport{
+		Node: r.Tracker.Self, Started: r.started, Sequence: r.sequence, AccountUsages: usages,
+	})
+}
+
+// broadcast sends the report to all destinations, as base or the kind that is relayed. It returns the total number of
+// bytes, or 0 if the report cannot be encoded within maxReportBytes.
+func (r *Reporter) broadcast(base byte, report any) int {
 	var body []byte
 	if err := codec.NewEncoderBytes(&body, &r.handle).Encode(report); err != nil || len(body) > maxReportBytes {
 		return 0
 	}
-	raw = append(raw, body...)
+	raw := append([]byte{base}, body...)
 	destinations := r.destinations()
 	for _, to := range destinations {
-		raw[0] = to.kind
+		raw[0] = base + to.kind
 		r.write(raw, to.Member)
 	}
 	return len(raw) * len(destinations)
@@ -183,28 +218,57 @@
 	}
 }
 
-// handleDatagram decodes and applies a report. If the datagram is of kindRelay, it forwards the report to the
-// other nodes of this data centre.
+// handleDatagram decodes and applies a report. If the datagram is to be relayed, it forwards the report to the other
+// nodes of this data centre.
 func (r *Reporter) handleDatagram(raw []byte) {
-	var report tracker.Report
-	if err := codec.NewDecoderBytes(raw[1:], &r.handle).Decode(&report); err != nil {
-		return
+	kind := raw[0]
+	var node string
+	var newer bool
+	switch kind {
+	case kindDirect, kindRelay:
+		node, newer = r.handleReport(raw[1:])
+	case kindUsage, kindUsageRelay:
+		node, newer = r.handleUsages(raw[1:])
 	}
-	if !r.Tracker.ApplyReport(time.Now(), &report) {
+	if !newer || (kind != kindRelay && kind != kindUsageRelay) {
 		return
 	}
-	r.OnReport(&report)
-	if raw[0] != kindRelay {
-		return
-	}
-	raw[0] = kindDirect
+	raw[0] = kind - kindRelay
 	for _, m := range r.Tracker.OtherMembers() {
-		if m.DataCentre == r.Tracker.DataCentre && m.Node != report.Node {
+		if m.DataCentre == r.Tracker.DataCentre && m.Node != node {
 			r.write(raw, m)
 		}
 	}
 }
 
+// handleReport applies a report and returns its node and whether it is newer than the previous one.
+func (r *Reporter) handleReport(body []byte) (node string, newer bool) {
+	var report tracker.Report
+	if err := codec.NewDecoderBytes(body, &r.handle).Decode(&report); err != nil {
+		return "", false
+	}
+	if !r.Tracker.ApplyReport(time.Now(), &report) {
+		return "", false
+	}
+	if r.Tracker.ApplyUsages(report.Node, report.Started, report.Sequence) {
+		r.OnUsages(report.Node, report.AccountUsages)
+	}
+	return report.Node, true
+}
+
+// handleUsages applies a usage report and returns its node and whether it is newer than the previous one.
+func (r *Reporter) handleUsages(body []byte) (node string, newer bool) {
+	var report usageReport
+	if err := codec.NewDecoderBytes(body, &r.handle).Decode(&report); err != nil {
+		return "", false
+	}
+	if !r.Tracker.ApplyUsages(report.Node, report.Started, report.Sequence) {
+		return "", false
+	}
+	r.OnUsages(report.Node, report.AccountUsages)
+	return report.Node, true
+}
+
 // Close closes the socket and waits until the receiving goroutine has ended.
 func (r *Reporter) Close() {
 	_ = r.conn.Close()
--- a/internal/peer/reporter/reporter_test.go
+++ b/internal/peer/reporter/reporter_test.go
@@ -14,7 +14,7 @@
 )
 
 // TestReportsReachEveryNode checks that each node receives the reports of each other node, directly within a data
-// centre and through relays between data centres, and that malformed datagrams are ignored.
+// centre and through relays between data centres, the same for usage reports, and that malformed datagrams are ignored.
 func TestReportsReachEveryNode(t *testing.T) {
 	const n = 6
 	members := make([]tracker.Member, n)
@@ -36,14 +36,17 @@
 		}
 		r := &reporter.Reporter{
 			Listen: m.ReportAddress, Tracker: tr,
-			Urgent: func() bool { return true },
+			Urgent: func() bool { return false },
 			BuildReport: func() tracker.Report {
 				return tracker.Report{Node: m.Node, AccountUsages: []tracker.AccountUsage{{Account: "shop", Admitted: float32(i)}}}
 			},
-			OnReport: func(from *tracker.Report) {
+			BuildUsages: func() []tracker.AccountUsage {
+				return []tracker.AccountUsage{{Account: "changed", Demand: float32(i)}, {Account: "shop"}}
+			},
+			OnUsages: func(from string, usages []tracker.AccountUsage) {
 				mu.Lock()
 				defer mu.Unlock()
-				received[from.Node+">"+m.Node] = len(from.AccountUsages) == 1
+				received[fmt.Sprint(from, ">", m.Node, " ", len(usages))] = float32(from[0]-'0') == usages[0].Admitted+usages[0].Demand
 			},
 		}
 		assert.NilError(t, r.Open())
@@ -53,13 +56,13 @@
 	noise, err := net.Dial("udp4", members[0].ReportAddress)
 	assert.NilError(t, err)
 	defer noise.Close()
-	for _, raw := range []string{"", "x", "\x00\xff\xff\xff", "\x01\x9d"} {
+	for _, raw := range []string{"", "x", "\x00\xff\xff\xff", "\x01\x9d", "\x02\x94", "\x04x"} {
 		_, _ = noise.Write([]byte(raw))
 	}
 	all := func() bool {
 		mu.Lock()
 		defer mu.Unlock()
-		return len(received) == n*(n-1)
+		return len(received) == 2*n*(n-1)
 	}
 	for end := time.Now().Add(10 * time.Second); !all() && time.Now().Before(end); {
 		time.Sleep(20 * time.Millisecond)
@@ -69,7 +72,7 @@
 	for _, r := range reporters {
 		r.Close()
 	}
-	assert.Equal(t, len(received), n*(n-1))
+	assert.Equal(t, len(received), 2*n*(n-1))
 	for pair, complete := range received {
 		assert.Assert(t, complete, pair)
 	}
--- a/internal/policy/windowlimiter/windowlimiter.go
+++ b/internal/policy/windowlimiter/windowlimiter.go
@@ -7,6 +7,7 @@
 package windowlimiter
 
 import (
+	"math"
 	"time"
 )
 
@@ -38,6 +39,11 @@
 	// unreportedShare is the part of the latest one and a half slices that is not reported yet, given that
 	// reports are at most a fifth of a second old.
 	unreportedShare = 0.5
+	// unreportedUse and unreportedExtra limit what the nodes together may have admitted without a report, as a part of
+	// the window's limit and in requests. unreportedDemand does so for the demand, as a part of the rate.
+	unreportedUse    = 0.04
+	unreportedExtra  = 4
+	unreportedDemand = 0.3
 	// warmUpTime is the time after its start in which a node receives the first reports from the others.
 	warmUpTime = 1500 * time.Millisecond
 	// minDemand is the minimum demand of a node, in requests per second, so that a node without any
@@ -86,8 +92,13 @@
 	admitTokens float64
 	refilledAt  time.Duration
 	reports     map[string]report
-	// nearLimit reports whether the account had used more than half of unthrottledShare at its latest request.
-	nearLimit bool
+	// reported is what this node has last reported.
+	reported Usage
+	// windowLimit is the number of requests that the account may send within a window, used the number that all nodes
+	// are known to have admitted and fleetDemand their known demand, all at the account's latest request.
+	windowLimit float64
+	used        float64
+	fleetDemand float64
 }
 
 type report struct {
@@ -156,7 +167,7 @@
 	windowLimit := limit.Rate*l.Window.Seconds() + limit.Burst
 	used, unreported, demand := a.fleetUsage(now, l.Window, windowLimit/l.Window.Seconds())
 	historyComplete := now-l.Started >= l.Window
-	a.nearLimit = used > unthrottledShare/2*windowLimit
+	a.windowLimit, a.used, a.fleetDemand = windowLimit, used, demand
 	rate := windowLimit / l.Window.Seconds()
 	if !historyComplete {
 		// Requests admitted before the start may still be within the window, so no burst is allowed.
@@ -231,26 +242,43 @@
 	a.admitTokens = min(a.admitTokens+admitFactor*rate*span, max(minAdmitTokens, admitFactor*rate*admitTokenSpan.Seconds()))
 }
 
-// NearLimit reports whether any account in use approaches the part of its limit that is unthrottled, so that
-// the other nodes need a report soon.
-func (l *Limiter) NearLimit(now time.Duration) bool {
-	for _, a := range l.accounts {
-		if a.nearLimit && now-a.demandSince < l.Window && a.demand > minDemand {
-			return true
-		}
-	}
-	return false
+// UnreportedUsages returns this node's report on the accounts of which the other nodes need one soon.
+func (l *Limiter) UnreportedUsages(now time.Duration) map[string]Usage {
+	return l.report(now, l.needsReport)
 }
 
-// Usages returns this node's report on the accounts that were used within the window.
+// Usages returns this node's report on the accounts that were used within the window or since the latest report.
 func (l *Limiter) Usages(now time.Duration) map[string]Usage {
+	return l.report(now, func(a *account, u Usage) bool {
+		return u.Admitted > 0 || u.Demand > minDemand || a.reported.Admitted > 0
+	})
+}
+
+// report returns the usages of the chosen accounts and records that they are reported.
+func (l *Limiter) report(now time.Duration, choose func(*account, Usage) bool) map[string]Usage {
 	out := map[string]Usage{}
 	for name := range l.accounts {
 		a := l.account(now, name)
-		admitted := a.admitted()
-		if admitted > 0 || a.demand > minDemand {
-			out[name] = Usage{Admitted: admitted, Demand: a.demand}
+		u := Usage{Admitted: a.admitted(), Demand: a.demand}
+		if choose(a, u) {
+			a.reported = u
+			out[name] = u
 		}
 	}
 	return out
 }
+
+// needsReport reports whether the fleet would use the account much differently from what it knows if all nodes differed
+// from their latest reports as much as this one does.
+func (l *Limiter) needsReport(a *account, u Usage) bool {
+	if a.windowLimit <= 0 {
+		return false
+	}
+	nodes := float64(max(l.nodes, 1))
+	if math.Abs(u.Admitted-a.reported.Admitted)*nodes > unreportedUse*a.windowLimit+unreportedExtra {
+		return true
+	}
+	rate := a.windowLimit / l.Window.Seconds()
+	nearLimit := a.used > unthrottledShare*a.windowLimit || max(a.fleetDemand, u.Demand*nodes) > rate
+	return nearLimit && math.Abs(u.Demand-a.reported.Demand)*nodes > unreportedDemand*rate
+}
--- a/internal/policy/windowlimiter/windowlimiter_test.go
+++ b/internal/policy/windowlimiter/windowlimiter_test.go
@@ -17,7 +17,7 @@
 	toleranceExtra  = 20
 )
 
-// Times of the reports: period without an urgent reason, urgentPeriod with one, and checkPeriod between two checks.
+// Times between two reports of all accounts, two reports of those that need one soon, and two checks.
 const (
 	period       = time.Second
 	urgentPeriod = 200 * time.Millisecond
@@ -40,10 +40,12 @@
 	// reports.
 	weights  []float64
 	isolated map[int]bool
-	// reportedAt holds the time of each node's latest report. minPeriod is the minimum time between two reports that
+	// reportedAt holds the time of each node's latest report of all accounts, usageReportedAt that of its latest report
+	// of any. minPeriod is the minimum time between two of the former that
 	// keeps a large fleet within its bandwidth.
-	reportedAt []time.Duration
-	minPeriod  time.Duration
+	reportedAt      []time.Duration
+	usageReportedAt []time.Duration
+	minPeriod       time.Duration
 }
 
 func newFleet(t *testing.T, seed uint64, n int, limit windowlimiter.Limit) *fleet {
@@ -52,6 +54,7 @@
 		f.nodes = append(f.nodes, &windowlimiter.Limiter{Window: window})
 		f.weights = append(f.weights, f.rng.Float64()+0.1)
 		f.reportedAt = append(f.reportedAt, f.now-time.Duration(f.rng.Float64()*float64(period)))
+		f.usageReportedAt = append(f.usageReportedAt, f.now)
 	}
 	return f
 }
@@ -59,19 +62,24 @@
 func (f *fleet) exchange() {
 	for i, from := range f.nodes {
 		from.SetNodes(len(f.nodes))
-		due := period
-		if from.NearLimit(f.now) {
-			due = urgentPeriod
-		}
-		if f.now-f.reportedAt[i] < max(due, f.minPeriod) {
-			continue
+		switch {
+		case f.now-f.reportedAt[i] >= max(period, f.minPeriod):
+			f.reportedAt[i] = f.now
+			f.report(i, from.Usages(f.now))
+		case f.now-f.usageReportedAt[i] >= urgentPeriod:
+			if usages := from.UnreportedUsages(f.now); len(usages) > 0 {
+				f.report(i, usages)
+			}
 		}
-		f.reportedAt[i] = f.now
-		for account, usage := range from.Usages(f.now) {
-			for j, to := range f.nodes {
-				if i != j && !f.isolated[i] && !f.isolated[j] {
-					to.Receive(f.now, fmt.Sprint(i), account, usage)
-				}
+	}
+}
+
+func (f *fleet) report(from int, usages map[string]windowlimiter.Usage) {
+	f.usageReportedAt[from] = f.now
+	for account, usage := range usages {
+		for j, to := range f.nodes {
+			if from != j && !f.isolated[from] && !f.isolated[j] {
+				to.Receive(f.now, fmt.Sprint(from), account, usage)
 			}
 		}
 	}
@@ -180,6 +188,7 @@
 			f.run(6*time.Second, 0.62*limit.Rate)
 			f.run(8*time.Second, 7.5*limit.Rate)
 			f.check()
+			assert.Assert(t, float64(len(f.admitted)) > 10*limit.Rate, "only %d admitted", len(f.admitted))
 		}
 	}
 }
