Let a repeat of an order wait for the earlier attempt's outcome

Cause: the registrars learn of an outcome after the reply, in the background. A repeat that meets a registrar which has not heard is denied at the first such vote, and nobody asked again.

Ruled out: a lost outcome (the repeat finds it later), and the vote's time limit (it denies long before).

Considered: a reply that waits until a majority of the registrars know. It adds a round trip to each order for the sake of the few that are repeated, and fails the same way when a registrar is slow.

Change: the node where the request entered sends a denied call again, as a new call, at about 100 ms, for at most 2 s and half of the time to the deadline. It holds no slot of a target while it waits. A repeat of an order that is still running gets its answer the same way.

--- a/internal/node/broker/dispatch.go
+++ b/internal/node/broker/dispatch.go
@@ -4,7 +4,9 @@
 	"context"
 	"errors"
 	"net/http"
+	"time"
 
+	"github.com/google/uuid"
 	"github.com/plantainwheel/plantainwheel/internal/event/recorder"
 	"github.com/plantainwheel/plantainwheel/internal/node/roster"
 	"github.com/plantainwheel/plantainwheel/internal/node/waiter"
@@ -14,10 +16,38 @@
 	"github.com/plantainwheel/plantainwheel/internal/policy/retrier"
 )
 
-// dispatch sends a call to a target of its route's service. It retries a failed call as long as a retry
-// is safe, can still succeed and is within the retry budget. A retry excludes the members that did not run
-// the call.
+// While another attempt holds the request ID of a call, the call is dispatched again at about earlierAttemptInterval,
+// for at most earlierAttemptWait and half of the time to the deadline.
+const (
+	earlierAttemptInterval = 100 * time.Millisecond
+	earlierAttemptWait     = 2 * time.Second
+)
+
+// dispatch sends a call to a target of its route's service. If another attempt holds the call's request ID, dispatch
+// waits for its outcome.
 func (b *Broker) dispatch(ctx context.Context, route reducer.Route, call Call, budget *retrier.Budget) Reply {
+	reply := b.dispatchOnce(ctx, route, call, budget)
+	if reply.Code != CodeEarlierAttemptUnknown {
+		return reply
+	}
+	deadline, _ := ctx.Deadline()
+	wait := min(earlierAttemptWait, deadline.Sub(b.Clock())/2)
+	for end := b.Clock().Add(wait); b.Clock().Before(end); {
+		if !waiter.Sleep(ctx, time.Duration((0.5+b.fraction())*float64(earlierAttemptInterval))) {
+			return reply
+		}
+		// A member returns the same reply to each copy of a call.
+		call.ID = uuid.NewString()
+		if next := b.dispatchOnce(ctx, route, call, budget); next.Outcome != retrier.NotRun {
+			return next
+		}
+	}
+	return reply
+}
+
+// dispatchOnce sends a call to a target. It retries a failed call as long as a retry is safe, can still succeed and is
+// within the retry budget. A retry excludes the members that did not run the call.
+func (b *Broker) dispatchOnce(ctx context.Context, route reducer.Route, call Call, budget *retrier.Budget) Reply {
 	var tried []string
 	level := admitter.MaxLevel
 	b.recordAttempt(route.Service)
--- a/internal/node/runner/fleet_test.go
+++ b/internal/node/runner/fleet_test.go
@@ -37,6 +37,8 @@
 	cutLinks map[string]bool
 	// answersToDrop is the number of forwarded calls whose answers are still to be dropped.
 	answersToDrop int
+	// outcomeDelay delays the messages that tell registrars of an outcome.
+	outcomeDelay time.Duration
 	// snapshotEvery overrides the default setting if it is not 0.
 	snapshotEvery time.Duration
 	// retention overrides the default setting if it is not 0.
@@ -348,6 +350,10 @@
 }
 
 func (l *peerLink) Finish(ctx context.Context, member string, res deduplicator.Result) error {
+	if l.sim.outcomeDelay > 0 {
+		time.Sleep(l.sim.outcomeDelay)
+		ctx = context.WithoutCancel(ctx)
+	}
 	to, err := l.sim.send(ctx, l.vm, vmOf(member))
 	if err == nil {
 		to.Deduplicator.Finish(res)
--- a/internal/node/runner/once_test.go
+++ b/internal/node/runner/once_test.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -178,6 +179,32 @@
 	}
 }
 
+// TestRepeatAwaitsOutcome guards against a repeat that is refused although the order has been answered, or is still
+// running. The registrars learn of the outcome late.
+func TestRepeatAwaitsOutcome(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sim := newSimulation(t)
+		sim.outcomeDelay = 700 * time.Millisecond
+		sim.startFleet()
+		for i := range orderCount {
+			id := fmt.Sprintf("order-%d", i)
+			var first broker.Reply
+			var wg sync.WaitGroup
+			wg.Go(func() { first = sim.order("a1", id) })
+			if i%2 == 0 {
+				wg.Wait()
+			} else {
+				time.Sleep(2 * hopLatency)
+			}
+			repeat := sim.order([]string{"b1", "c1", "a2"}[i%3], id)
+			wg.Wait()
+			assert.Assert(t, ran(first) && ran(repeat), "%s: %s", id, formatReplies([]broker.Reply{first, repeat}))
+			assert.Equal(t, string(repeat.Body), id)
+			assert.Equal(t, sim.runs(id), 1)
+		}
+	})
+}
+
 // TestOrderWithoutID sends orders without a request ID while the answers to forwarded calls are lost.
 // The entry node resends each call, and the receiver must run it only once.
 func TestOrderWithoutID(t *testing.T) {
