Gather member records between two reads

Cause: each node waits at the store for member records, and each record answers all of them. When 68 of 79 nodes start, and each writes one or two records within a second, each node reads nearly once per record.

Ruled out: the configuration's reads (one write answers each node once) and the costs (written at most each 5 s by a node).

Change: after a read that returned records, a node pauses before the next read, 5 ms for each member and 400 ms at most, so that further records come in one answer.

--- a/internal/platform/watcher/topic.go
+++ b/internal/platform/watcher/topic.go
@@ -37,6 +37,8 @@
 	reset func(keys map[string]bool)
 	// restartSpread, if set, returns the time over which nodes spread their reads of the newest records after a restore.
 	restartSpread func() time.Duration
+	// gatherTime, if set, returns the pause after a read that returned records, in which further ones gather.
+	gatherTime func() time.Duration
 
 	// next is the offset of the next read. It is valid only in era.
 	next int64
@@ -131,6 +133,12 @@
 	}
 	t.next = batch.Next
 	t.accept(batch, sentAt)
+	if t.gatherTime != nil && len(batch.Records) > 0 {
+		select {
+		case <-ctx.Done():
+		case <-time.After(t.gatherTime()):
+		}
+	}
 	return nil
 }
 
--- a/internal/platform/watcher/watcher.go
+++ b/internal/platform/watcher/watcher.go
@@ -22,6 +22,10 @@
 	// restartSpread is multiplied by the number of members to obtain the time over which nodes spread the calls that each
 	// of them makes after a restore of the store.
 	restartSpread = time.Millisecond
+	// gatherPerNode is multiplied by the number of members to obtain the pause after a read that returned records, which
+	// is at most maxGatherTime. Without it, a start of the whole fleet makes as many calls as the square of its size.
+	gatherPerNode = 5 * time.Millisecond
+	maxGatherTime = 400 * time.Millisecond
 )
 
 // Store is the part of the platform's store that the watcher uses.
@@ -126,6 +130,7 @@
 		store: w.Store, name: platform.MemberTopic, wait: memberReadWait, log: w.Log, eras: w.storeEras(),
 		apply: w.applyMembers, onApplied: w.confirmMembers, reset: w.resetMembers,
 		restartSpread: func() time.Duration { return w.spread(restartSpread) },
+		gatherTime:    func() time.Duration { return min(w.spread(gatherPerNode), maxGatherTime) },
 	}
 	t.follow(ctx)
 }
--- a/internal/platform/watcher/watcher_test.go
+++ b/internal/platform/watcher/watcher_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -210,3 +211,41 @@
 	assert.Equal(t, c.Service, "x")
 	assert.Equal(t, c.RouteCosts[0].Calls["c"], float32(4))
 }
+
+// TestMemberReadsGathered guards against a call of every node for every record when many nodes start at once.
+func TestMemberReadsGathered(t *testing.T) {
+	const members = 60
+	store := &storer.Store{}
+	put := func(i, slots int) {
+		node := fmt.Sprint("vm-", i)
+		raw, err := json.Marshal(tracker.Member{Node: node, Slots: slots})
+		assert.NilError(t, err)
+		store.Put(platform.MemberTopic, node, raw)
+	}
+	for i := range members {
+		put(i, 1)
+	}
+	var reads atomic.Int64
+	f := startBehind(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodGet && strings.Contains(r.URL.String(), platform.MemberTopic) {
+			reads.Add(1)
+		}
+		store.ServeHTTP(w, r)
+	}))
+	f.eventually("members known", func() bool { return len(f.tracker.OtherMembers()) == members && f.watcher.MembersKnown() })
+	before := reads.Load()
+	for i := range members {
+		put(i, 2)
+		time.Sleep(5 * time.Millisecond)
+	}
+	f.eventuallyIn(700*time.Millisecond, "all records applied", func() bool {
+		for _, m := range f.tracker.OtherMembers() {
+			if m.Slots != 2 {
+				return false
+			}
+		}
+		return true
+	})
+	made := reads.Load() - before
+	assert.Assert(t, made > 0 && made <= 6, "%d reads for %d records", made, members)
+}
