Drop ended processes also for accounts without requests

Found on reading: a node that receives reports on an account but admits nothing of it kept the reports of ended processes for good, a few bytes for each restart. They are dropped when another is added, too.

--- a/internal/policy/windowlimiter/windowlimiter.go
+++ b/internal/policy/windowlimiter/windowlimiter.go
@@ -167,6 +167,7 @@
 		return
 	}
 	if old.started < from.Started && old.Admitted > 0 {
+		a.dropEnded(now, l.Window)
 		a.ended = append(a.ended, old)
 	}
 	a.reports[from.Node] = report{Usage: usage, at: now, started: from.Started}
@@ -235,7 +236,7 @@
 
 // admittedByEnded returns the requests within the window that ended processes may have admitted.
 func (a *account) admittedByEnded(now, window time.Duration) float64 {
-	a.ended = slices.DeleteFunc(a.ended, func(r report) bool { return now-r.at >= window })
+	a.dropEnded(now, window)
 	sum := 0.0
 	for _, r := range a.ended {
 		sum += r.Admitted
@@ -243,6 +244,11 @@
 	return sum
 }
 
+// dropEnded removes the ended processes whose requests have left the window.
+func (a *account) dropEnded(now, window time.Duration) {
+	a.ended = slices.DeleteFunc(a.ended, func(r report) bool { return now-r.at >= window })
+}
+
 // estimateUnreported returns the requests that the other nodes may have admitted and not yet reported,
 // assuming that they recently admitted in proportion to this node.
 func (a *account) estimateUnreported(share float64) float64 {
