Write store records in one place, and sleep with the waiter

Found on reading the change: the member record, the costs and the settled era were each encoded, given the same timeout and written by the same lines, and three waits repeated waiter.Sleep. put encodes and bounds the write now, and the topic calls the waiter. Behaviour is unchanged; the watcher's tests are green with the race detector, as they stand.

--- a/internal/platform/watcher/costs.go
+++ b/internal/platform/watcher/costs.go
@@ -61,13 +61,7 @@
 }
 
 func (w *Watcher) putCosts(ctx context.Context, c tracker.NodeCosts) error {
-	raw, err := json.Marshal(c)
-	if err != nil {
-		return err
-	}
-	ctx, cancel := context.WithTimeout(ctx, putTimeout)
-	defer cancel()
-	if err := w.put(ctx, platform.CostTopic, c.Node, raw); err != nil {
+	if err := w.put(ctx, platform.CostTopic, c.Node, c); err != nil {
 		w.Log.Warn().Err(err).Msg("writing request costs failed")
 		return err
 	}
--- a/internal/platform/watcher/publish.go
+++ b/internal/platform/watcher/publish.go
@@ -119,13 +119,7 @@
 }
 
 func (w *Watcher) putOwn(ctx context.Context, m tracker.Member) error {
-	raw, err := json.Marshal(m)
-	if err != nil {
-		return err
-	}
-	ctx, cancel := context.WithTimeout(ctx, putTimeout)
-	defer cancel()
-	if err := w.put(ctx, platform.MemberTopic, m.Node, raw); err != nil {
+	if err := w.put(ctx, platform.MemberTopic, m.Node, m); err != nil {
 		w.Log.Warn().Err(err).Str("state", string(m.State)).Msg("writing own member record failed")
 		return err
 	}
@@ -134,9 +128,15 @@
 	return nil
 }
 
-// put writes a record and observes the era of the answer.
-func (w *Watcher) put(ctx context.Context, topic, key string, value []byte) error {
-	era, err := w.Store.Put(ctx, topic, key, value)
+// put writes a record as JSON and observes the era of the answer.
+func (w *Watcher) put(ctx context.Context, topic, key string, record any) error {
+	raw, err := json.Marshal(record)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, putTimeout)
+	defer cancel()
+	era, err := w.Store.Put(ctx, topic, key, raw)
 	if err != nil {
 		return err
 	}
--- a/internal/platform/watcher/settled.go
+++ b/internal/platform/watcher/settled.go
@@ -68,13 +68,7 @@
 }
 
 func (w *Watcher) putSettled(ctx context.Context, era platform.Era) error {
-	raw, err := json.Marshal(settledRecord{Era: era})
-	if err != nil {
-		return err
-	}
-	ctx, cancel := context.WithTimeout(ctx, putTimeout)
-	defer cancel()
-	if err := w.put(ctx, platform.MemberTopic, settledKey, raw); err != nil {
+	if err := w.put(ctx, platform.MemberTopic, settledKey, settledRecord{Era: era}); err != nil {
 		w.Log.Warn().Err(err).Int64("era", int64(era)).Msg("writing the settled era failed")
 		return err
 	}
--- a/internal/platform/watcher/topic.go
+++ b/internal/platform/watcher/topic.go
@@ -8,6 +8,7 @@
 
 	"github.com/phuslu/log"
 	"github.com/plantainwheel/plantainwheel/internal/node/timekeeper"
+	"github.com/plantainwheel/plantainwheel/internal/node/waiter"
 	"github.com/plantainwheel/plantainwheel/platform"
 )
 
@@ -68,10 +69,7 @@
 		if err == nil {
 			return true
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(pause/2 + rand.N(pause)):
-		}
+		waiter.Sleep(ctx, pause/2+rand.N(pause))
 		pause = min(2*pause, maxRetryDelay)
 	}
 	return false
@@ -134,10 +132,7 @@
 	t.next = batch.Next
 	t.accept(batch, sentAt)
 	if t.gatherTime != nil && len(batch.Records) > 0 {
-		select {
-		case <-ctx.Done():
-		case <-time.After(t.gatherTime()):
-		}
+		waiter.Sleep(ctx, t.gatherTime())
 	}
 	return nil
 }
@@ -153,10 +148,8 @@
 // restart reads the newest record of each key.
 func (t *topic) restart(ctx context.Context) error {
 	if era, _ := t.eras.current(); t.restartedOnce && t.era != era && t.restartSpread != nil {
-		select {
-		case <-ctx.Done():
+		if !waiter.Sleep(ctx, rand.N(t.restartSpread())) {
 			return ctx.Err()
-		case <-time.After(rand.N(t.restartSpread())):
 		}
 	}
 	sentAt := timekeeper.SinceBoot()
