Compare report order and request ids in one place each

Found on reading the change: whether a report is newer was decided by the same comparison for reports and usage reports, both then passed the usages on by the same lines, and the executor compared an answer's request id in two places. Each has one piece of code now.

--- a/internal/fleet/tracker/tracker.go
+++ b/internal/fleet/tracker/tracker.go
@@ -168,8 +168,7 @@
 	if !ok {
 		return false
 	}
-	old := &p.report
-	if c := cmp.Or(cmp.Compare(r.Started, old.Started), cmp.Compare(r.Sequence, old.Sequence)); c <= 0 {
+	if !isNewer(r.Started, r.Sequence, p.report.Started, p.report.Sequence) {
 		return false
 	}
 	p.report = *r
@@ -179,13 +178,18 @@
 	return true
 }
 
+// isNewer reports whether a report is newer than an old one of the same node.
+func isNewer(started int64, sequence uint64, oldStarted int64, oldSequence uint64) bool {
+	return cmp.Or(cmp.Compare(started, oldStarted), cmp.Compare(sequence, oldSequence)) > 0
+}
+
 // ApplyUsages records that a report of the node has account usages. It returns false if the node is unknown or they are
 // not newer than those of another report.
 func (t *Tracker) ApplyUsages(node string, started int64, sequence uint64) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	p, ok := t.peers[node]
-	if !ok || cmp.Or(cmp.Compare(started, p.usagesStarted), cmp.Compare(sequence, p.usagesSequence)) <= 0 {
+	if !ok || !isNewer(started, sequence, p.usagesStarted, p.usagesSequence) {
 		return false
 	}
 	p.usagesStarted, p.usagesSequence = started, sequence
--- a/internal/peer/reporter/reporter.go
+++ b/internal/peer/reporter/reporter.go
@@ -250,9 +250,7 @@
 	if !r.Tracker.ApplyReport(time.Now(), &report) {
 		return "", false
 	}
-	if r.Tracker.ApplyUsages(report.Node, report.Started, report.Sequence) {
-		r.OnUsages(report.Node, report.Started, report.AccountUsages)
-	}
+	r.applyUsages(&usageReport{report.Node, report.Started, report.Sequence, report.AccountUsages})
 	return report.Node, true
 }
 
@@ -262,11 +260,16 @@
 	if err := codec.NewDecoderBytes(body, &r.handle).Decode(&report); err != nil {
 		return "", false
 	}
-	if !r.Tracker.ApplyUsages(report.Node, report.Started, report.Sequence) {
-		return "", false
+	return report.Node, r.applyUsages(&report)
+}
+
+// applyUsages passes on the account usages if they are newer than the previous ones of the node.
+func (r *Reporter) applyUsages(u *usageReport) bool {
+	newer := r.Tracker.ApplyUsages(u.Node, u.Started, u.Sequence)
+	if newer {
+		r.OnUsages(u.Node, u.Started, u.AccountUsages)
 	}
-	r.OnUsages(report.Node, report.Started, report.AccountUsages)
-	return report.Node, true
+	return newer
 }
 
 // Close closes the socket and waits until the receiving goroutine has ended.
--- a/internal/target/executor/answer.go
+++ b/internal/target/executor/answer.go
@@ -17,7 +17,7 @@
 		_ = resp.Body.Close()
 		cancel()
 	})
-	if resp.Header.Get(platform.RequestIDHeader) != job.Request.Header.Get(platform.RequestIDHeader) {
+	if !hasOwnID(resp, job) {
 		release()
 		return transporter.UnknownAnswer(ReasonInvalidAnswer)
 	}
@@ -80,8 +80,11 @@
 
 // isOwnAnswer reports whether the answer belongs to the job's request and comes from the expected incarnation.
 func isOwnAnswer(resp *http.Response, job *Job) bool {
-	return resp.StatusCode != http.StatusMisdirectedRequest &&
-		resp.Header.Get(platform.RequestIDHeader) == job.Request.Header.Get(platform.RequestIDHeader)
+	return resp.StatusCode != http.StatusMisdirectedRequest && hasOwnID(resp, job)
+}
+
+func hasOwnID(resp *http.Response, job *Job) bool {
+	return resp.Header.Get(platform.RequestIDHeader) == job.Request.Header.Get(platform.RequestIDHeader)
 }
 
 // learn records what an answer of the incarnation says about its state.
