--- a/internal/node/attendant/attendant.go
+++ b/internal/node/attendant/attendant.go
@@ -18,6 +18,7 @@
 	"github.com/plantainwheel/plantainwheel/internal/fleet/tracker"
 	"github.com/plantainwheel/plantainwheel/internal/node/timekeeper"
 	"github.com/plantainwheel/plantainwheel/internal/peer/adviser"
+	"github.com/plantainwheel/plantainwheel/internal/peer/distributor"
 	"github.com/plantainwheel/plantainwheel/internal/peer/forwarder"
 	"github.com/plantainwheel/plantainwheel/internal/peer/reporter"
 	"github.com/plantainwheel/plantainwheel/internal/platform/watcher"
@@ -29,8 +30,12 @@
 )
 
 const (
-	// configPollTimeout is how long a read of the configuration waits for a new record.
-	configPollTimeout = 1500 * time.Millisecond
+	// configPollTimeout is how long a read of the configuration in the store waits for a new record. Few nodes read the
+	// store, and what the others know is older by the time between two of their questions.
+	configPollTimeout = 700 * time.Millisecond
+	// neighbourConfigShare is the maximum age, as a share of the key revocation bound, of the configuration that another
+	// node has read from the store when it is asked. It is more than two reads take.
+	neighbourConfigShare = 0.34
 	// configMaxAgeShare is the maximum age of a configuration as a share of the key revocation bound. The rest of
 	// the bound covers differences between the clocks of VMs.
 	configMaxAgeShare = 0.9
@@ -75,6 +80,7 @@
 	executor   *executor.Executor
 	gateway    *gateway.Gateway
 	watcher    *watcher.Watcher
+	copy       *distributor.Copy
 	reporter   *reporter.Reporter
 	poller     *adviser.Poller
 	pools      []*transporter.Pool
@@ -114,8 +120,11 @@
 	a.executor.OnStateChange = a.handleTargetState
 	a.executor.OnSend = a.Metrics.NewCounter("target_requests_sent_total").Inc
 	wake := make(chan struct{}, 1)
+	a.copy = &distributor.Copy{Now: timekeeper.SinceBoot, OnQuestion: func(topic string, stale bool) bool { return a.watcher.HandleQuestion(topic, stale) }}
 	a.watcher = &watcher.Watcher{
-		Store: platform.NewStore(cfg.StoreAddress), Keeper: a.keeper, Tracker: a.tracker,
+		Store:      &watcher.CountingStore{Store: platform.NewStore(cfg.StoreAddress), Metrics: a.Metrics},
+		Neighbours: distributor.NewClient(timekeeper.SinceBoot), Copy: a.copy, Metrics: a.Metrics,
+		MaxConfigAge: scale(cfg.Bounds.KeyRevocation, neighbourConfigShare), Keeper: a.keeper, Tracker: a.tracker,
 		Log: a.Log, Self: cfg.Node, ConfigWait: configPollTimeout, OnOwnMember: a.restoreTarget,
 		SettlePeriod: cfg.Bounds.ConfigApply, MaxSettlePeriod: cfg.Bounds.KeyRevocation,
 		OwnCosts: a.costRecord, OnStoredCosts: a.restoreCosts, OnEra: func() { notify(wake) },
@@ -124,6 +133,7 @@
 		Keeper: a.keeper, Tracker: a.tracker, Log: a.Log, PollAfter: scale(cfg.Bounds.KeyRevocation, peerQueryShare), Wake: wake,
 		HTTP: adviser.NewHTTPClient(),
 	}
+	a.Metrics.NewGauge("configuration_age_seconds", func() float64 { return a.keeper.Age(timekeeper.SinceBoot()).Seconds() })
 	a.gateway = a.newGateway(peers)
 	a.reporter = &reporter.Reporter{
 		Listen: cfg.IP + ":" + strconv.Itoa(cfg.ReportPort), Tracker: a.tracker, Urgent: a.urgent, BuildReport: a.buildReport,
--- a/internal/node/attendant/server.go
+++ b/internal/node/attendant/server.go
@@ -12,7 +12,9 @@
 	"time"
 
 	"github.com/plantainwheel/plantainwheel/internal/peer/adviser"
+	"github.com/plantainwheel/plantainwheel/internal/peer/distributor"
 	"github.com/plantainwheel/plantainwheel/internal/peer/forwarder"
+	"github.com/plantainwheel/plantainwheel/internal/platform/watcher"
 	"github.com/plantainwheel/plantainwheel/platform"
 )
 
@@ -102,6 +104,7 @@
 	ready.HandleFunc("GET "+platform.ReadyPath, a.handleReady)
 	control := http.NewServeMux()
 	control.Handle(adviser.AdviserPathPrefix, (&adviser.Server{Keeper: a.keeper}).Handler())
+	control.Handle(distributor.DistributorPathPrefix, (&distributor.Server{Copy: a.copy, Topics: watcher.Topics}).Handler())
 	list := []*server{
 		newControlServer("metrics", cfg.IP+":"+strconv.Itoa(cfg.MetricsPort), http.HandlerFunc(a.writeMetrics)),
 		newControlServer("control", a.controlAddress(), control),
--- a/internal/peer/adviser/adviser.go
+++ b/internal/peer/adviser/adviser.go
@@ -12,6 +12,7 @@
 	"github.com/phuslu/log"
 	"github.com/plantainwheel/plantainwheel/internal/fleet/tracker"
 	"github.com/plantainwheel/plantainwheel/internal/node/timekeeper"
+	"github.com/plantainwheel/plantainwheel/internal/peer/connector"
 	"github.com/plantainwheel/plantainwheel/internal/route/keeper"
 )
 
@@ -23,30 +24,12 @@
 	// fanOut is the number of nodes queried in parallel. Several are queried, because some of them may be unable
 	// to reach the store as well.
 	fanOut = 3
-	// maxReplyBytes and maxReplyHeaderBytes bound a reply. A configuration is at most as large as a record of the store.
-	maxReplyBytes       = 1 << 20
-	maxReplyHeaderBytes = 64 << 10
+	// maxReplyBytes bounds a reply. A configuration is at most as large as a record of the store.
+	maxReplyBytes = 1 << 20
 )
 
 // NewHTTPClient returns an HTTP client for Poller that bounds the size of replies.
-func NewHTTPClient() *http.Client {
-	return &http.Client{Transport: boundedTransport{&http.Transport{
-		MaxIdleConnsPerHost: 1, IdleConnTimeout: 5 * time.Second, MaxResponseHeaderBytes: maxReplyHeaderBytes,
-	}}}
-}
-
-// boundedTransport ends the bodies of responses after maxReplyBytes.
-type boundedTransport struct{ http.RoundTripper }
-
-// RoundTrip implements http.RoundTripper.
-func (t boundedTransport) RoundTrip(r *http.Request) (*http.Response, error) {
-	resp, err := t.RoundTripper.RoundTrip(r)
-	if err != nil {
-		return nil, err
-	}
-	resp.Body = http.MaxBytesReader(nil, resp.Body, maxReplyBytes)
-	return resp, nil
-}
+func NewHTTPClient() *http.Client { return connector.NewHTTPClient(1, maxReplyBytes) }
 
 // Server answers queries from other nodes about the configuration.
 type Server struct {
--- a/internal/platform/watcher/costs.go
+++ b/internal/platform/watcher/costs.go
@@ -23,7 +23,9 @@
 // node's costs whenever they change, until ctx ends. Without the stored costs, a fleet that has lost all its nodes
 // admits more than its bottleneck service can handle until the costs are learned again.
 func (w *Watcher) SyncCosts(ctx context.Context) {
-	t := topic{store: w.Store, name: platform.CostTopic, log: w.Log, eras: w.storeEras(), apply: w.applyCosts}
+	t := w.newTopic(platform.CostTopic, 0, firstNeighbourWait, maxCostsAge)
+	t.apply = w.applyCosts
+	w.awaitMembers(ctx)
 	if !t.read(ctx) {
 		return
 	}
--- a/internal/platform/watcher/topic.go
+++ b/internal/platform/watcher/topic.go
@@ -9,6 +9,7 @@
 	"github.com/phuslu/log"
 	"github.com/plantainwheel/plantainwheel/internal/node/timekeeper"
 	"github.com/plantainwheel/plantainwheel/internal/node/waiter"
+	"github.com/plantainwheel/plantainwheel/internal/peer/distributor"
 	"github.com/plantainwheel/plantainwheel/platform"
 )
 
@@ -17,28 +18,35 @@
 	readTimeoutMargin = 900 * time.Millisecond
 	// newestTimeout is the timeout of a read of the newest records.
 	newestTimeout = 2500 * time.Millisecond
-	// minRetryDelay and maxRetryDelay bound the mean pause after a failed read. The pause doubles with each failure and
-	// is random, so that nodes that failed together do not call together.
-	minRetryDelay = 100 * time.Millisecond
-	maxRetryDelay = 800 * time.Millisecond
+	// firstNeighbourWait is how long another node may wait for the records of a topic that this node has not read yet.
+	firstNeighbourWait = 100 * time.Millisecond
 )
 
 // topic follows one keyed topic of the store.
 type topic struct {
 	store Store
-	name  string
-	wait  time.Duration
-	log   *log.Logger
-	eras  *eras
-	// apply receives the records of each read and reports whether all of them could be applied. If so, onApplied
-	// receives the time at which the read was sent and the era of its answer.
+	// neighbours, if set, answers from other nodes, which sources chooses.
+	neighbours Neighbours
+	sources    *sources
+	// copy receives what has been read, for other nodes.
+	copy *distributor.Copy
+	name string
+	log  *log.Logger
+	eras *eras
+	// wait is how long a read of the store waits for new records, neighbourWait a read from another node.
+	wait          time.Duration
+	neighbourWait time.Duration
+	// maxAge is the maximum age of what another node has read when it receives the question.
+	maxAge time.Duration
+	// apply receives the records of each read and reports whether all of them could be applied. If so, and if the read was
+	// complete, onApplied receives the time at which the read of the store was sent and the era of its answer.
 	apply     func([]platform.Record) bool
 	onApplied func(sentAt time.Duration, era platform.Era)
 	// reset receives the existing keys each time the newest records have been read, before apply is called.
 	reset func(keys map[string]bool)
 	// restartSpread, if set, returns the time over which nodes spread their reads of the newest records after a restore.
 	restartSpread func() time.Duration
-	// gatherTime, if set, returns the pause after a read that returned records, in which further ones gather.
+	// gatherTime, if set, returns the pause after a read of the store that returned records, in which further ones gather.
 	gatherTime func() time.Duration
 
 	// next is the offset of the next read. It is valid only in era.
@@ -49,8 +57,10 @@
 	// restartedOnce is set once the newest records have been read.
 	restartedOnce bool
 	failing       bool
-	// immediate is set if the next read must not wait, because the latest one proved nothing.
+	// immediate is set if the next read of the store must not wait, because the latest read has failed or was interrupted.
 	immediate bool
+	// settling is set if the latest read of the store was sent before its era had settled, and therefore proved nothing.
+	settling bool
 }
 
 // follow reads until ctx ends.
@@ -59,130 +69,190 @@
 	}
 }
 
-// read performs one read and repeats it with increasing pauses until it succeeds. It returns false if ctx ends
-// first.
+// read performs one read and repeats it, from other sources or with increasing pauses, until it succeeds. It returns
+// false if ctx ends first.
 func (t *topic) read(ctx context.Context) bool {
-	pause := minRetryDelay
 	for ctx.Err() == nil {
-		err := t.readOnce(ctx)
-		t.logAvailability(err)
+		from, pause := t.chooseSource()
+		if pause > 0 {
+			waiter.Sleep(ctx, pause)
+			continue
+		}
+		err := t.readOnce(ctx, from)
+		if ctx.Err() != nil {
+			return false
+		}
+		t.sources.ended(from, err)
+		t.logAvailability(from, err)
 		if err == nil {
 			return true
 		}
-		waiter.Sleep(ctx, pause/2+rand.N(pause))
-		pause = min(2*pause, maxRetryDelay)
 	}
 	return false
 }
 
-// logAvailability logs when the store becomes unavailable and when it is available again.
-func (t *topic) logAvailability(err error) {
+// chooseSource returns the source to read from now, or the time to wait. A node that has not read anything yet does not
+// try several nodes, because after a loss of all nodes the others may not have started either.
+func (t *topic) chooseSource() (source, time.Duration) {
+	if t.failing && !t.restartedOnce {
+		return t.sources.store()
+	}
+	return t.sources.choose()
+}
+
+// logAvailability logs when a source becomes unavailable and when the topic can be read again.
+func (t *topic) logAvailability(from source, err error) {
 	switch {
 	case err != nil && !t.failing:
-		t.log.Warn().Err(err).Str("topic", t.name).Msg("store unavailable")
+		t.log.Warn().Err(err).Str("topic", t.name).Str("from", from.String()).Msg("records unavailable")
 	case err == nil && t.failing:
-		t.log.Info().Str("topic", t.name).Msg("store available again")
+		t.log.Info().Str("topic", t.name).Str("from", from.String()).Msg("records available again")
 	}
 	t.failing = err != nil
 	t.immediate = t.immediate || t.failing
 }
 
-// readWait returns how long the next read waits for new records. A read proves what is newest only if it is sent after
-// the store's era has settled, so an earlier one waits no longer than until then.
-func (t *topic) readWait() time.Duration {
-	if remaining := t.eras.remaining(); remaining > 0 {
-		t.immediate = true
-		return min(t.wait, remaining)
-	}
-	if t.immediate {
-		t.immediate = false
-		return 0
-	}
-	return t.wait
-}
-
 // readOnce reads the records from next on. If next is not an offset of the store's present era, or if the records have
-// expired, the next call reads the newest records instead.
-func (t *topic) readOnce(ctx context.Context) error {
-	era, ended := t.eras.current()
+// expired, it reads the newest records instead.
+func (t *topic) readOnce(ctx context.Context, from source) error {
+	era, eraEnded := t.eras.current()
+	position := t.next
 	if !t.started || t.era != era {
-		return t.restart(ctx)
+		position = distributor.FromNewest
 	}
-	sentAt := timekeeper.SinceBoot()
-	wait := t.readWait()
-	ctx, cancel := context.WithTimeout(ctx, wait+readTimeoutMargin)
+	if position == distributor.FromNewest && from.isStore() && !t.spreadRestart(ctx, era) {
+		return ctx.Err()
+	}
+	readCtx, cancel, hurry := t.sources.begin(ctx)
 	defer cancel()
-	defer context.AfterFunc(ended, cancel)()
-	batch, err := t.store.Read(ctx, t.name, t.next, wait)
+	defer context.AfterFunc(eraEnded, cancel)()
+	t.immediate = t.immediate || hurry
+	reading, err := t.fetch(readCtx, from, era, position)
+	interrupted := readCtx.Err() != nil
+	t.sources.end()
 	switch {
 	case errors.Is(err, platform.ErrExpired):
 		t.log.Info().Str("topic", t.name).Int64("next", t.next).Msg("records at the read position not available")
 		t.started = false
 		return nil
-	case err != nil && ended.Err() != nil:
-		// Another call has learned of a restore, and this one waited for offsets of the old era.
-		t.started = false
+	case err != nil && interrupted:
+		// Another call has learned of a restore, or another node needs a recent read.
+		t.immediate = true
 		return nil
 	case err != nil:
 		return err
-	case batch.Era != t.era:
+	}
+	if err := t.observe(reading.Era); err != nil {
+		return err
+	}
+	if position != distributor.FromNewest && reading.Era != t.era {
 		t.started = false
-		return t.observe(batch.Era)
+		return nil
+	}
+	if position == distributor.FromNewest {
+		t.restart(&reading)
 	}
-	t.next = batch.Next
-	t.accept(batch, sentAt)
-	if t.gatherTime != nil && len(batch.Records) > 0 {
+	t.accept(position, &reading)
+	if t.gatherTime != nil && len(reading.Records) > 0 && from.isStore() && position != distributor.FromNewest {
 		waiter.Sleep(ctx, t.gatherTime())
 	}
 	return nil
 }
 
-// observe records the era of an answer. It returns an error if the answer is of an earlier era than the latest.
-func (t *topic) observe(era platform.Era) error {
-	if !t.eras.observe(era) {
-		return platform.ErrRestored
+// spreadRestart waits before the newest records are read from the store in another era. It returns false if ctx ends
+// before that.
+func (t *topic) spreadRestart(ctx context.Context, era platform.Era) bool {
+	if !t.restartedOnce || t.era == era || t.restartSpread == nil {
+		return true
 	}
-	return nil
+	return waiter.Sleep(ctx, rand.N(t.restartSpread()))
 }
 
-// restart reads the newest record of each key.
-func (t *topic) restart(ctx context.Context) error {
-	if era, _ := t.eras.current(); t.restartedOnce && t.era != era && t.restartSpread != nil {
-		if !waiter.Sleep(ctx, rand.N(t.restartSpread())) {
-			return ctx.Err()
-		}
+// fetch reads the records at the position from the source.
+func (t *topic) fetch(ctx context.Context, from source, era platform.Era, position int64) (distributor.Reading, error) {
+	if !from.isStore() {
+		return t.neighbours.Read(ctx, from.address, t.question(era, position))
 	}
 	sentAt := timekeeper.SinceBoot()
-	ctx, cancel := context.WithTimeout(ctx, newestTimeout)
+	if position == distributor.FromNewest {
+		ctx, cancel := context.WithTimeout(ctx, newestTimeout)
+		defer cancel()
+		batch, err := t.store.Newest(ctx, t.name)
+		return distributor.Reading{Batch: batch, Complete: true, ProvenAt: sentAt}, err
+	}
+	wait := t.storeWait()
+	ctx, cancel := context.WithTimeout(ctx, wait+readTimeoutMargin)
 	defer cancel()
-	batch, err := t.store.Newest(ctx, t.name)
-	if err != nil {
-		return err
+	batch, err := t.store.Read(ctx, t.name, position, wait)
+	return distributor.Reading{Batch: batch, Complete: batch.Next >= batch.End, ProvenAt: sentAt}, err
+}
+
+// storeWait returns how long the next read of the store waits for new records. A read proves what is newest only if it
+// is sent after the store's era has settled, so an earlier one waits no longer than until then.
+func (t *topic) storeWait() time.Duration {
+	if remaining := t.eras.remaining(); remaining > 0 {
+		return min(t.wait, remaining)
 	}
-	if err := t.observe(batch.Era); err != nil {
-		return err
+	if t.immediate || t.settling {
+		t.immediate = false
+		return 0
+	}
+	return t.wait
+}
+
+// question returns the next question to another node. Once the store's era has settled, it asks for a read of the store
+// that was sent after that.
+func (t *topic) question(era platform.Era, position int64) distributor.Question {
+	q := distributor.Question{Topic: t.name, Era: era, From: position, MaxAge: t.maxAge, Wait: t.neighbourWait}
+	switch remaining := t.eras.remaining(); {
+	case !t.restartedOnce:
+		q.Wait = firstNeighbourWait
+	case remaining > 0:
+		q.Wait = min(q.Wait, remaining)
+	case t.settling:
+		q.MaxAge = 0
 	}
-	if t.restartedOnce && t.era != batch.Era {
-		t.log.Warn().Str("topic", t.name).Int64("old-era", int64(t.era)).Int64("era", int64(batch.Era)).
-			Int64("next", t.next).Int64("end", batch.End).Int("records", len(batch.Records)).
+	return q
+}
+
+// observe records the era of an answer. It returns an error if the answer is of an earlier era than the latest.
+func (t *topic) observe(era platform.Era) error {
+	if !t.eras.observe(era) {
+		return platform.ErrRestored
+	}
+	return nil
+}
+
+// restart continues from the newest record of each key.
+func (t *topic) restart(r *distributor.Reading) {
+	if t.restartedOnce && t.era != r.Era {
+		t.log.Warn().Str("topic", t.name).Int64("old-era", int64(t.era)).Int64("era", int64(r.Era)).
+			Int64("next", t.next).Int64("end", r.End).Int("records", len(r.Records)).
 			Msg("store was restored from a copy: topic read again")
 	}
-	t.next, t.era = batch.Next, batch.Era
+	t.era = r.Era
 	t.started, t.restartedOnce = true, true
-	if t.reset != nil {
-		keys := map[string]bool{}
-		for _, r := range batch.Records {
-			keys[r.Key] = true
-		}
-		t.reset(keys)
+	if t.reset == nil {
+		return
 	}
-	t.accept(batch, sentAt)
-	return nil
+	keys := map[string]bool{}
+	for _, record := range r.Records {
+		keys[record.Key] = true
+	}
+	t.reset(keys)
 }
 
-// accept applies the records of a read that was sent at the given time.
-func (t *topic) accept(batch platform.Batch, sentAt time.Duration) {
-	if t.apply(batch.Records) && t.onApplied != nil {
-		t.onApplied(sentAt, batch.Era)
+// accept applies the records of a reading that started at the position, and passes them on to other nodes.
+func (t *topic) accept(position int64, r *distributor.Reading) {
+	t.next = r.Next
+	if !t.apply(r.Records) {
+		r.Complete = false
+	}
+	if t.copy != nil {
+		t.copy.Store(t.name, position, r)
+	}
+	t.settling = !t.eras.proves(r.ProvenAt, r.Era)
+	if r.Complete && t.onApplied != nil {
+		t.onApplied(r.ProvenAt, r.Era)
 	}
 }
--- a/internal/platform/watcher/watcher.go
+++ b/internal/platform/watcher/watcher.go
@@ -9,23 +9,36 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/phuslu/log"
 	"github.com/plantainwheel/plantainwheel/internal/fleet/tracker"
-	"github.com/plantainwheel/plantainwheel/internal/node/timekeeper"
+	"github.com/plantainwheel/plantainwheel/internal/peer/distributor"
+	"github.com/plantainwheel/plantainwheel/internal/policy/elector"
 	"github.com/plantainwheel/plantainwheel/internal/route/keeper"
 	"github.com/plantainwheel/plantainwheel/platform"
 )
 
 const (
-	// memberReadWait is how long a read of the members waits for new records.
-	memberReadWait = 10 * time.Second
+	// memberReadWait is how long a read of the members in the store waits for new records, and memberNeighbourWait a read
+	// from another node. maxMemberAge is the maximum age of what that node has read.
+	memberReadWait      = 3 * time.Second
+	memberNeighbourWait = 1500 * time.Millisecond
+	maxMemberAge        = 8 * time.Second
+	// configNeighbourWait is how long a read of the configuration from another node waits. A silent node is noticed after
+	// little more than that, and another one is then asked.
+	configNeighbourWait = 600 * time.Millisecond
+	// maxCostsAge is the maximum age of the stored request costs that another node has read.
+	maxCostsAge = 10 * time.Second
+	// firstReadPeriod is how long the other topics wait at the start of the node for the members, from which they may be
+	// read instead of from the store.
+	firstReadPeriod = 300 * time.Millisecond
 	// restartSpread is multiplied by the number of members to obtain the time over which nodes spread the calls that each
 	// of them makes after a restore of the store.
 	restartSpread = time.Millisecond
 	// gatherPerNode is multiplied by the number of members to obtain the pause after a read that returned records, which
 	// is at most maxGatherTime. Without it, a start of the whole fleet makes as many calls as the square of its size.
 	gatherPerNode = 5 * time.Millisecond
-	maxGatherTime = 400 * time.Millisecond
+	maxGatherTime = 200 * time.Millisecond
 )
 
 // Store is the part of the platform's store that the watcher uses.
@@ -37,7 +50,13 @@
 
 // Watcher follows the store and publishes this node's records.
 type Watcher struct {
-	Store   Store
+	Store Store
+	// Neighbours, if set, answers from nodes that have read the store, so that not every node has to read it. Copy then
+	// answers the questions of other nodes.
+	Neighbours Neighbours
+	Copy       *distributor.Copy
+	// Metrics, if set, counts the reads by topic and source.
+	Metrics *metrics.Set
 	Keeper  *keeper.Keeper
 	Tracker *tracker.Tracker
 	Log     *log.Logger
@@ -52,6 +71,9 @@
 	MaxSettlePeriod time.Duration
 	// OnOwnMember receives this node's member record as stored when the node started.
 	OnOwnMember func(tracker.Member)
+	// MaxConfigAge is the maximum age of the configuration that another node has read when it is asked. Above it, another
+	// source is used.
+	MaxConfigAge time.Duration
 	// OwnCosts returns the request costs that this node has learned for its target. OnStoredCosts receives the
 	// costs that a node had stored before this process started.
 	OwnCosts      func() tracker.NodeCosts
@@ -59,9 +81,12 @@
 	// OnEra is called when the store has answered in an era for the first time.
 	OnEra func()
 
-	erasOnce sync.Once
-	eras     *eras
-	own      ownRecord
+	once    sync.Once
+	eras    *eras
+	sources map[string]*sources
+	// membersRead is closed once the members have been read for the first time.
+	membersRead chan struct{}
+	own         ownRecord
 	// storedVersion is the version of the newest configuration in the store. Only FollowConfig uses it.
 	storedVersion uint64
 	// ownRestored is set once the members have been read after the start. Only FollowMembers uses it.
@@ -78,18 +103,65 @@
 	return time.Duration(len(w.Tracker.OtherMembers())+1) * perNode
 }
 
+// initialize creates what the topics share.
+func (w *Watcher) initialize() {
+	w.once.Do(func() {
+		w.eras = newEras(w.SettlePeriod, w.MaxSettlePeriod)
+		w.membersRead = make(chan struct{})
+		w.sources = map[string]*sources{}
+		for _, name := range Topics {
+			s := &sources{topic: name, log: w.Log, metrics: w.Metrics, elector: elector.Elector{Self: w.Self}}
+			if w.Neighbours != nil {
+				s.tracker = w.Tracker
+			}
+			w.sources[name] = s
+		}
+	})
+}
+
+// Topics are the topics that a node reads from other nodes.
+var Topics = []string{platform.ConfigTopic, platform.MemberTopic, platform.CostTopic}
+
 // storeEras returns the eras of the store, which all topics share.
 func (w *Watcher) storeEras() *eras {
-	w.erasOnce.Do(func() { w.eras = newEras(w.SettlePeriod, w.MaxSettlePeriod) })
+	w.initialize()
 	return w.eras
 }
 
+// HandleQuestion records that another node asks for the topic. stale is set if what this node has read is too old. It
+// reports whether this node will read the topic soon.
+func (w *Watcher) HandleQuestion(topic string, stale bool) bool {
+	w.initialize()
+	return w.sources[topic].asked(stale) && topic != platform.CostTopic
+}
+
+// newTopic returns a topic with the given waits for new records.
+func (w *Watcher) newTopic(name string, wait, neighbourWait, maxAge time.Duration) *topic {
+	w.initialize()
+	return &topic{
+		store: w.Store, neighbours: w.Neighbours, sources: w.sources[name], copy: w.Copy, name: name, log: w.Log, eras: w.eras,
+		wait: wait, neighbourWait: neighbourWait, maxAge: maxAge,
+	}
+}
+
+// awaitMembers waits until the members have been read, at most for firstReadPeriod.
+func (w *Watcher) awaitMembers(ctx context.Context) {
+	if w.Neighbours == nil {
+		return
+	}
+	select {
+	case <-ctx.Done():
+	case <-w.membersRead:
+	case <-time.After(firstReadPeriod):
+	}
+}
+
 // FollowConfig follows the configuration until ctx ends.
 func (w *Watcher) FollowConfig(ctx context.Context) {
-	t := topic{
-		store: w.Store, name: platform.ConfigTopic, wait: w.ConfigWait, log: w.Log, eras: w.storeEras(),
-		apply: w.applyConfig, onApplied: w.confirmConfig, reset: func(map[string]bool) { w.storedVersion = 0 },
-	}
+	t := w.newTopic(platform.ConfigTopic, w.ConfigWait, configNeighbourWait, w.MaxConfigAge)
+	t.apply, t.onApplied = w.applyConfig, w.confirmConfig
+	t.reset = func(map[string]bool) { w.storedVersion = 0 }
+	w.awaitMembers(ctx)
 	t.follow(ctx)
 }
 
@@ -126,12 +198,10 @@
 
 // FollowMembers follows the members until ctx ends.
 func (w *Watcher) FollowMembers(ctx context.Context) {
-	t := topic{
-		store: w.Store, name: platform.MemberTopic, wait: memberReadWait, log: w.Log, eras: w.storeEras(),
-		apply: w.applyMembers, onApplied: w.confirmMembers, reset: w.resetMembers,
-		restartSpread: func() time.Duration { return w.spread(restartSpread) },
-		gatherTime:    func() time.Duration { return min(w.spread(gatherPerNode), maxGatherTime) },
-	}
+	t := w.newTopic(platform.MemberTopic, memberReadWait, memberNeighbourWait, maxMemberAge)
+	t.apply, t.onApplied, t.reset = w.applyMembers, w.confirmMembers, w.resetMembers
+	t.restartSpread = func() time.Duration { return w.spread(restartSpread) }
+	t.gatherTime = func() time.Duration { return min(w.spread(gatherPerNode), maxGatherTime) }
 	t.follow(ctx)
 }
 
@@ -139,14 +209,17 @@
 	for _, r := range records {
 		w.applyMember(r)
 	}
-	w.ownRestored = true
+	if !w.ownRestored {
+		w.ownRestored = true
+		close(w.membersRead)
+	}
 	return true
 }
 
-// confirmMembers records that the members are known if the store is settled when a read returns, and removes those
-// that have no record.
-func (w *Watcher) confirmMembers(_ time.Duration, era platform.Era) {
-	if !w.eras.proves(timekeeper.SinceBoot(), era) {
+// confirmMembers records that the members are known if a read of the store was sent when its era had settled, and removes
+// those that have no record.
+func (w *Watcher) confirmMembers(sentAt time.Duration, era platform.Era) {
+	if !w.eras.proves(sentAt, era) {
 		return
 	}
 	w.membersKnown.Store(true)
--- /dev/null
+++ b/internal/policy/elector/elector.go
@@ -0,0 +1,167 @@
+// Package elector decides from where a node reads a topic of the store: at the store itself, or from another node of
+// its data centre that reads the store for its neighbours.
+//
+// If every node reads the store, the number of calls grows with the fleet. So the nodes of a data centre are ranked by
+// a hash of their names, without any agreement, and each node asks the first one that answers. A node that is asked
+// reads the store itself, so nodes with different views of the members cannot wait for each other.
+package elector
+
+import (
+	"cmp"
+	"hash/fnv"
+	"slices"
+	"time"
+)
+
+const (
+	// maxRanked is the number of nodes that a node asks before it reads the store itself. More would all begin to read
+	// the store during an outage.
+	maxRanked = 3
+	// askedPeriod is how long a node reads the store itself after another node has asked it.
+	askedPeriod = 3 * time.Second
+	// staleBackoff is the mean time after which a node is asked again that answered but had not reached the store.
+	staleBackoff = 400 * time.Millisecond
+	// minNodeBackoff and maxNodeBackoff bound the mean time after which a node is asked again that did not answer.
+	minNodeBackoff = 2 * time.Second
+	maxNodeBackoff = 16 * time.Second
+	// minReaderBackoff and maxReaderBackoff bound the mean pause between failed calls of the store by a node that reads
+	// it for others, minFollowerBackoff and maxFollowerBackoff that of the others, of which there are many more.
+	minReaderBackoff   = 100 * time.Millisecond
+	maxReaderBackoff   = 800 * time.Millisecond
+	minFollowerBackoff = time.Second
+	maxFollowerBackoff = 8 * time.Second
+)
+
+// Store is the source that stands for the store itself. No node has this name.
+const Store = ""
+
+// Failure tells how a source has failed.
+type Failure int
+
+// The failures of a source.
+const (
+	// Silent means that no answer came, or one that cannot be used.
+	Silent Failure = iota
+	// Stale means that the node answered, but that its latest read of the store is too old.
+	Stale
+)
+
+// Choice is a source to read from now.
+type Choice struct {
+	// Source is Store or the name of a node.
+	Source string
+	// Pause is the time to wait before the next choice if there is no source at present.
+	Pause time.Duration
+}
+
+// Elector chooses the source of one topic. All times are readings of one clock. It is not safe for concurrent use.
+type Elector struct {
+	// Self is the name of this node.
+	Self string
+
+	failures   map[string]failure
+	askedUntil time.Duration
+	// reading is set while the latest choice made this node a reader for others, or left it alone.
+	reading bool
+}
+
+// failure is a source that has failed.
+type failure struct {
+	until   time.Duration
+	backoff time.Duration
+}
+
+// Choose returns the source, given the names of the other nodes of the data centre that respond.
+func (e *Elector) Choose(now time.Duration, others []string) Choice {
+	ranked := Rank(append(slices.Clone(others), e.Self))
+	ranked = ranked[:min(len(ranked), maxRanked)]
+	first := slices.IndexFunc(ranked, func(n string) bool { return n != e.Self && !e.failed(now, n) })
+	own := slices.Index(ranked, e.Self)
+	e.reading = now < e.askedUntil || own >= 0 && (first < 0 || own < first) || len(others) == 0
+	switch {
+	case e.reading && !e.failed(now, Store):
+		return Choice{Source: Store}
+	case first >= 0:
+		return Choice{Source: ranked[first]}
+	case !e.failed(now, Store):
+		return Choice{Source: Store}
+	default:
+		return Choice{Pause: e.nextRetry(now)}
+	}
+}
+
+// Rank orders node names by a hash, which is the same on all nodes.
+func Rank(nodes []string) []string {
+	type ranked struct {
+		name string
+		hash uint64
+	}
+	list := make([]ranked, 0, len(nodes))
+	for _, n := range nodes {
+		h := fnv.New64a()
+		_, _ = h.Write([]byte(n))
+		list = append(list, ranked{n, h.Sum64()})
+	}
+	slices.SortFunc(list, func(a, b ranked) int {
+		return cmp.Or(cmp.Compare(a.hash, b.hash), cmp.Compare(a.name, b.name))
+	})
+	names := make([]string, 0, len(list))
+	for _, r := range list {
+		names = append(names, r.name)
+	}
+	return names
+}
+
+func (e *Elector) failed(now time.Duration, source string) bool {
+	return now < e.failures[source].until
+}
+
+// nextRetry returns the time until the first failed source may be tried again.
+func (e *Elector) nextRetry(now time.Duration) time.Duration {
+	next := maxNodeBackoff
+	for _, f := range e.failures {
+		if f.until > now {
+			next = min(next, f.until-now)
+		}
+	}
+	return next
+}
+
+// Asked records that another node reads from this one. It reports whether this node did not read the store for others
+// before.
+func (e *Elector) Asked(now time.Duration) bool {
+	first := now >= e.askedUntil && !e.reading
+	e.askedUntil = now + askedPeriod
+	return first
+}
+
+// StoreFailed reports whether the store has failed recently, so that this node has nothing newer to tell.
+func (e *Elector) StoreFailed(now time.Duration) bool { return e.failed(now, Store) }
+
+// StorePause returns the time until the store may be called again.
+func (e *Elector) StorePause(now time.Duration) time.Duration {
+	return max(e.failures[Store].until-now, 0)
+}
+
+// Succeeded records that a read from the source has succeeded.
+func (e *Elector) Succeeded(source string) { delete(e.failures, source) }
+
+// Failed records that a read from the source has failed. jitter, between 0 and 1, spreads the retries of the nodes.
+func (e *Elector) Failed(now time.Duration, source string, how Failure, jitter float64) {
+	if e.failures == nil {
+		e.failures = map[string]failure{}
+	}
+	f := e.failures[source]
+	lowest, highest := minNodeBackoff, maxNodeBackoff
+	switch {
+	case source == Store && e.reading:
+		lowest, highest = minReaderBackoff, maxReaderBackoff
+	case source == Store:
+		lowest, highest = minFollowerBackoff, maxFollowerBackoff
+	case how == Stale:
+		lowest, highest = staleBackoff, staleBackoff
+	}
+	f.backoff = min(max(2*f.backoff, lowest), highest)
+	f.until = now + time.Duration((0.5+jitter)*float64(f.backoff))
+	e.failures[source] = f
+}
