--- a/internal/peer/distributor/copy.go
+++ b/internal/peer/distributor/copy.go
@@ -55,8 +55,8 @@
 type Copy struct {
 	// Now reads a clock that includes the time during which the VM is suspended.
 	Now func() time.Duration
-	// OnQuestion, if set, is called for each question. It reports whether the topic will be read again soon. stale is
-	// set if the records are too old for the question.
+	// OnQuestion, if set, is called for each question. stale is set if the records are too old for the question. It
+	// reports whether the topic can be read now; otherwise the latest failure stands.
 	OnQuestion func(topic string, stale bool) bool
 
 	mu     sync.Mutex
@@ -69,6 +69,8 @@
 	next     int64
 	records  map[string]platform.Record
 	provenAt time.Duration
+	// failing is set while the node cannot read the topic.
+	failing bool
 	// changed is closed and replaced whenever the copy changes.
 	changed chan struct{}
 }
@@ -109,6 +111,20 @@
 	if r.Complete {
 		t.provenAt = max(t.provenAt, r.ProvenAt)
 	}
+	t.failing = false
+	t.notify()
+}
+
+// Fail records that the node cannot read the topic at present, so that others need not wait for it.
+func (c *Copy) Fail(name string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	t := c.topic(name)
+	t.failing = true
+	t.notify()
+}
+
+func (t *topicCopy) notify() {
 	close(t.changed)
 	t.changed = make(chan struct{})
 }
@@ -118,14 +134,12 @@
 func (c *Copy) Read(ctx context.Context, receivedAt time.Duration, q Question) (Reading, error) {
 	ctx, cancel := context.WithTimeout(ctx, q.Wait)
 	defer cancel()
-	readSoon := true
-	if c.OnQuestion != nil {
-		readSoon = c.OnQuestion(q.Topic, !c.isRecent(receivedAt, q))
+	if c.OnQuestion != nil && c.OnQuestion(q.Topic, !c.isRecent(receivedAt, q)) {
+		c.clearFailure(q.Topic)
 	}
 	for {
-		r, err, changed := c.read(receivedAt, q)
-		atOnce := len(r.Records) > 0 || q.From == FromNewest || r.Era != q.Era
-		if err == nil && atOnce || err != nil && !readSoon || ctx.Err() != nil {
+		r, done, changed, err := c.read(receivedAt, q)
+		if done || ctx.Err() != nil {
 			return r, err
 		}
 		select {
@@ -146,25 +160,30 @@
 	return t.known && t.provenAt >= receivedAt-q.MaxAge
 }
 
-// read returns the present answer to the question and a channel that is closed when the copy changes.
-func (c *Copy) read(receivedAt time.Duration, q Question) (Reading, error, chan struct{}) {
+func (c *Copy) clearFailure(name string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.topic(name).failing = false
+}
+
+// read returns the present answer to the question, whether it must be given at once, and a channel that is closed when
+// the copy changes.
+func (c *Copy) read(receivedAt time.Duration, q Question) (r Reading, done bool, changed chan struct{}, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	t := c.topic(q.Topic)
-	if !t.isRecent(receivedAt, q) {
-		return Reading{}, ErrStale, t.changed
-	}
 	from := q.From
-	if q.Era != t.era {
-		if q.Era > t.era {
-			return Reading{}, ErrBehind, t.changed
-		}
+	if q.Era < t.era {
 		from = FromNewest
 	}
-	if from > t.next {
-		return Reading{}, ErrBehind, t.changed
+	switch {
+	case t.failing || !t.isRecent(receivedAt, q):
+		return Reading{}, t.failing, t.changed, ErrStale
+	case q.Era > t.era || from > t.next:
+		return Reading{}, false, t.changed, ErrBehind
 	}
-	return t.readingFrom(from), nil, t.changed
+	r = t.readingFrom(from)
+	return r, len(r.Records) > 0 || from == FromNewest, t.changed, nil
 }
 
 // readingFrom returns the records from the offset on.
--- a/internal/platform/watcher/source.go
+++ b/internal/platform/watcher/source.go
@@ -134,7 +134,7 @@
 	if first || stale && s.latest.isStore() {
 		s.hurryAt(now)
 	}
-	return !s.elector.StoreFailed(now)
+	return first || !s.elector.StoreFailed(now)
 }
 
 // hurryAt makes the next read return at once. It interrupts the pending one, or does so later if another has been
--- a/internal/platform/watcher/topic.go
+++ b/internal/platform/watcher/topic.go
@@ -69,8 +69,8 @@
 	}
 }
 
-// read performs one read and repeats it, from other sources or with increasing pauses, until it succeeds. It returns
-// false if ctx ends first.
+// read performs one read and repeats it, from other sources or with increasing pauses, until it succeeds and reads can
+// continue from there. It returns false if ctx ends first.
 func (t *topic) read(ctx context.Context) bool {
 	for ctx.Err() == nil {
 		from, pause := t.chooseSource()
@@ -84,7 +84,10 @@
 		}
 		t.sources.ended(from, err)
 		t.logAvailability(from, err)
-		if err == nil {
+		if err != nil && t.copy != nil {
+			t.copy.Fail(t.name)
+		}
+		if err == nil && t.started {
 			return true
 		}
 	}
@@ -125,7 +128,9 @@
 	}
 	readCtx, cancel, hurry := t.sources.begin(ctx)
 	defer cancel()
-	defer context.AfterFunc(eraEnded, cancel)()
+	if position != distributor.FromNewest {
+		defer context.AfterFunc(eraEnded, cancel)()
+	}
 	t.immediate = t.immediate || hurry
 	reading, err := t.fetch(readCtx, from, era, position)
 	interrupted := readCtx.Err() != nil
--- a/internal/policy/elector/elector.go
+++ b/internal/policy/elector/elector.go
@@ -7,8 +7,6 @@
 package elector
 
 import (
-	"cmp"
-	"hash/fnv"
 	"slices"
 	"time"
 )
@@ -17,6 +15,8 @@
 	// maxRanked is the number of nodes that a node asks before it reads the store itself. More would all begin to read
 	// the store during an outage.
 	maxRanked = 3
+	// maxRankedWithoutStore is the number of nodes that it asks if the store turns it away.
+	maxRankedWithoutStore = 8
 	// askedPeriod is how long a node reads the store itself after another node has asked it.
 	askedPeriod = 3 * time.Second
 	// staleBackoff is the mean time after which a node is asked again that answered but had not reached the store.
@@ -74,42 +74,49 @@
 // Choose returns the source, given the names of the other nodes of the data centre that respond.
 func (e *Elector) Choose(now time.Duration, others []string) Choice {
 	ranked := Rank(append(slices.Clone(others), e.Self))
-	ranked = ranked[:min(len(ranked), maxRanked)]
 	first := slices.IndexFunc(ranked, func(n string) bool { return n != e.Self && !e.failed(now, n) })
 	own := slices.Index(ranked, e.Self)
-	e.reading = now < e.askedUntil || own >= 0 && (first < 0 || own < first) || len(others) == 0
+	e.reading = now < e.askedUntil || own >= 0 && own < maxRanked && (first < 0 || own < first) || len(others) == 0
+	storeFailed := e.failed(now, Store)
 	switch {
-	case e.reading && !e.failed(now, Store):
+	case e.reading && !storeFailed:
 		return Choice{Source: Store}
-	case first >= 0:
+	case first >= 0 && (first < maxRanked || storeFailed):
 		return Choice{Source: ranked[first]}
-	case !e.failed(now, Store):
+	case !storeFailed:
 		return Choice{Source: Store}
 	default:
 		return Choice{Pause: e.nextRetry(now)}
 	}
 }
 
-// Rank orders node names by a hash, which is the same on all nodes.
+// Rank returns the first of the nodes, maxRankedWithoutStore at most, in an order by a hash of their names that is the
+// same on all nodes.
 func Rank(nodes []string) []string {
-	type ranked struct {
-		name string
-		hash uint64
-	}
-	list := make([]ranked, 0, len(nodes))
+	first := make([]string, 0, maxRankedWithoutStore+1)
+	hashes := make([]uint64, 0, maxRankedWithoutStore+1)
 	for _, n := range nodes {
-		h := fnv.New64a()
-		_, _ = h.Write([]byte(n))
-		list = append(list, ranked{n, h.Sum64()})
+		h := hash(n)
+		i := len(first)
+		for i > 0 && (h < hashes[i-1] || h == hashes[i-1] && n < first[i-1]) {
+			i--
+		}
+		if i == maxRankedWithoutStore {
+			continue
+		}
+		first, hashes = slices.Insert(first, i, n), slices.Insert(hashes, i, h)
+		first, hashes = first[:min(len(first), maxRankedWithoutStore)], hashes[:min(len(hashes), maxRankedWithoutStore)]
 	}
-	slices.SortFunc(list, func(a, b ranked) int {
-		return cmp.Or(cmp.Compare(a.hash, b.hash), cmp.Compare(a.name, b.name))
-	})
-	names := make([]string, 0, len(list))
-	for _, r := range list {
-		names = append(names, r.name)
+	return first
+}
+
+// hash is the 64-bit FNV-1a hash.
+func hash(text string) uint64 {
+	h := uint64(14695981039346656037)
+	for i := range len(text) {
+		h = (h ^ uint64(text[i])) * 1099511628211
 	}
-	return names
+	return h
 }
 
 func (e *Elector) failed(now time.Duration, source string) bool {
