Pass reports on in batches, decode them with generated code, place without copying

Each report of 195 nodes goes to 194 others, one datagram each, and is decoded by reflection; each placement copied all candidates. Change: three relays a data centre pass reports on together, each 50 ms; nodes that do not understand batches (the member record tells) get them one by one; the same format as before is decoded by generated code (msgp) with bounds on lists; candidates are found by service, into a list that is used again; costs are summed up twice a second instead of ten times.

--- a/internal/caller/gateway/gateway.go
+++ b/internal/caller/gateway/gateway.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -282,14 +283,12 @@
 
 // attempt places the request once: it chooses a target and returns the answer from the target's node.
 func (g *Gateway) attempt(q *request) *transporter.Answer {
-	list, members := g.Tracker.Candidates(time.Now(), q.service, q.route.Name, q.tried)
-	i := placer.Choose(list)
-	if i < 0 {
+	m, ok := g.chooseTarget(q)
+	if !ok {
 		return transporter.NotRunAnswer(reasonNoTarget)
 	}
-	m := &members[i]
 	q.tried = append(q.tried, m.Node)
-	job := g.job(q, m)
+	job := g.job(q, &m)
 	g.Tracker.RequestSent(m.Node)
 	defer g.Tracker.RequestEnded(m.Node)
 	if q.sends == 0 {
@@ -304,13 +303,28 @@
 	if !answer.NotRun || answer.Reason == executor.ReasonTargetShed {
 		q.sends++
 	}
-	g.recordStatement(m, answer)
+	g.recordStatement(&m, answer)
 	if answer.NotRun && answer.Reason != executor.ReasonDeadlinePassed && answer.Reason != executor.ReasonCancelled {
 		g.Tracker.MarkRefusing(m.Node)
 	}
 	return answer
 }
 
+// candidateLists holds unused lists of candidates, which are long in large fleets.
+var candidateLists = sync.Pool{New: func() any { return new([]placer.Candidate) }}
+
+// chooseTarget returns the member beside whose target the request is placed, or false if there is none left.
+func (g *Gateway) chooseTarget(q *request) (tracker.Member, bool) {
+	list := candidateLists.Get().(*[]placer.Candidate)
+	defer candidateLists.Put(list)
+	*list = g.Tracker.Candidates((*list)[:0], time.Now(), q.service, q.route.Name, q.tried)
+	i := placer.Choose(*list)
+	if i < 0 {
+		return tracker.Member{}, false
+	}
+	return g.Tracker.Member((*list)[i].Node)
+}
+
 // recordStatement records what the answer says about its target, so that this node acts on it even if the target's node
 // has not heard of it or has been restarted.
 func (g *Gateway) recordStatement(m *tracker.Member, a *transporter.Answer) {
--- a/internal/fleet/tracker/tracker.go
+++ b/internal/fleet/tracker/tracker.go
@@ -4,6 +4,7 @@
 import (
 	"cmp"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -41,46 +42,8 @@
 	State          State  `json:"state"`
 	// WarmUpEndMs is the time at which the target's warm-up ends, in milliseconds since the Unix epoch.
 	WarmUpEndMs int64 `json:"warm-at"`
-}
-
-// Report is the state that a node periodically sends to the others. It is encoded as a list of its fields in
-// this order.
-type Report struct {
-	Node string
-	// Started increases with each process of a node, Sequence with each report of a process.
-	Started  int64
-	Sequence uint64
-	Target   string
-	Running  int
-	Waiting  int
-	Limit    int
-	Up       bool
-	// Load is the mean number of running and waiting requests per slot in the last period. Correction is the
-	// correction factor that the node has learned for the service of its target.
-	Load       float32
-	Correction float32
-	// Demand is the demand, by service, of the requests that enter at the node, in slots.
-	Demand        map[string]float32
-	FailureRate   float32
-	RouteCosts    []RouteCosts
-	AccountUsages []AccountUsage
-}
-
-// RouteCosts describes the slot use and the calls of one request of a route at the node's target.
-type RouteCosts struct {
-	Route string
-	// HoldMs is the time for which the request holds its slot, in milliseconds.
-	HoldMs float32
-	Calls  map[string]float32
-}
-
-// AccountUsage is a client account's use of its rate limit at the node.
-type AccountUsage struct {
-	Account string
-	// Admitted counts the requests admitted within the window of the rate limit.
-	Admitted float32
-	// Demand is the rate of offered requests per second.
-	Demand float32
+	// TakesBatches tells that the node understands several reports in one datagram.
+	TakesBatches bool `json:"takes-batches,omitempty"`
 }
 
 const (
@@ -105,6 +68,8 @@
 
 	mu    sync.Mutex
 	peers map[string]*peer
+	// byService holds the peers by the service of their targets. It is nil after a change of the members.
+	byService map[string][]*peer
 	// restored holds, by node, the costs that were learned before this process started.
 	restored   map[string]NodeCosts
 	statements map[incarnation]statement
@@ -145,6 +110,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	p := t.peer(m.Node)
+	t.byService = nil
 	if p.Target != m.Target || p.Address != m.Address || p.State != m.State {
 		p.suspectUntil = time.Time{}
 		p.lastSeen = time.Now()
@@ -157,6 +123,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	delete(t.peers, node)
+	t.byService = nil
 }
 
 // ApplyReport stores a report. It returns false if the node is unknown or has already sent a newer report or the
@@ -241,21 +208,46 @@
 	}
 }
 
-// Candidates returns the targets of a service that may run a request of the route, except those of the nodes in
-// tried, and their members in the same order.
-func (t *Tracker) Candidates(now time.Time, service, route string, tried []string) ([]placer.Candidate, []Member) {
+// Candidates appends the targets of a service that may run a request of the route to list, except those of the nodes in
+// tried, and returns the result. It starts with another target each time, so that the nodes do not all choose the same
+// one of several equal targets.
+func (t *Tracker) Candidates(list []placer.Candidate, now time.Time, service, route string, tried []string) []placer.Candidate {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var list []placer.Candidate
-	var members []Member
-	for _, p := range t.peers {
-		if p.Service != service || p.State != Ready || slices.Contains(tried, p.Node) || t.statements[p.incarnation()].leaving {
+	peers := t.peersOf(service)
+	if len(peers) == 0 {
+		return list
+	}
+	first := rand.IntN(len(peers))
+	for i := range peers {
+		p := peers[(first+i)%len(peers)]
+		if p.State != Ready || slices.Contains(tried, p.Node) || t.statements[p.incarnation()].leaving {
 			continue
 		}
 		list = append(list, t.candidate(now, p, route))
-		members = append(members, p.Member)
 	}
-	return list, members
+	return list
+}
+
+// peersOf returns the peers whose targets belong to the service.
+func (t *Tracker) peersOf(service string) []*peer {
+	if t.byService == nil {
+		t.byService = map[string][]*peer{}
+		for _, p := range t.peers {
+			t.byService[p.Service] = append(t.byService[p.Service], p)
+		}
+	}
+	return t.byService[service]
+}
+
+// Member returns the record of a node, or false if it is unknown.
+func (t *Tracker) Member(node string) (Member, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if p, ok := t.peers[node]; ok {
+		return p.Member, true
+	}
+	return Member{}, false
 }
 
 func (t *Tracker) candidate(now time.Time, p *peer, route string) placer.Candidate {
--- a/internal/fleet/tracker/tracker_test.go
+++ b/internal/fleet/tracker/tracker_test.go
@@ -19,10 +19,9 @@
 
 func candidate(t *testing.T, tr *tracker.Tracker, now time.Time, node string) placer.Candidate {
 	t.Helper()
-	list, members := tr.Candidates(now, "x", "r", nil)
-	for i, m := range members {
-		if m.Node == node {
-			return list[i]
+	for _, c := range tr.Candidates(nil, now, "x", "r", nil) {
+		if c.Node == node {
+			return c
 		}
 	}
 	t.Fatalf("%s is not a candidate", node)
@@ -35,14 +34,14 @@
 	assert.Assert(t, candidate(t, tr, now, "own").SameVM)
 	assert.Assert(t, candidate(t, tr, now, "near").SameDataCentre)
 	assert.Assert(t, !candidate(t, tr, now, "far").SameDataCentre)
-	list, _ := tr.Candidates(now, "x", "r", []string{"near", "far"})
+	list := tr.Candidates(nil, now, "x", "r", []string{"near", "far"})
 	assert.Equal(t, len(list), 1)
 	for _, state := range []tracker.State{tracker.Draining, tracker.Gone, tracker.Stopping} {
 		tr.SetMember(tracker.Member{Node: "near", Service: "x", State: state})
-		list, _ = tr.Candidates(now, "x", "r", nil)
+		list = tr.Candidates(nil, now, "x", "r", nil)
 		assert.Equal(t, len(list), 2, state)
 	}
-	list, _ = tr.Candidates(now, "other", "r", nil)
+	list = tr.Candidates(nil, now, "other", "r", nil)
 	assert.Equal(t, len(list), 0)
 }
 
@@ -171,12 +170,12 @@
 	assert.Assert(t, tr.RecordStatement(&near, 0, true))
 	assert.Assert(t, !tr.RecordStatement(&near, 0, true), "told twice")
 	assert.Assert(t, !tr.RecordStatement(&near, 3, false))
-	list, _ := tr.Candidates(time.Now(), "x", "r", nil)
+	list := tr.Candidates(nil, time.Now(), "x", "r", nil)
 	assert.Equal(t, len(list), 2, "a target that has said that it leaves is a candidate")
 	next := near
 	next.StartedAtMs++
 	tr.SetMember(next)
-	list, _ = tr.Candidates(time.Now(), "x", "r", nil)
+	list = tr.Candidates(nil, time.Now(), "x", "r", nil)
 	assert.Equal(t, len(list), 3, "the next lifetime under the same ID is no candidate")
 	assert.Equal(t, tr.Limit(&next), 0.0)
 }
--- a/internal/node/attendant/attendant.go
+++ b/internal/node/attendant/attendant.go
@@ -22,6 +22,7 @@
 	"github.com/plantainwheel/plantainwheel/internal/peer/forwarder"
 	"github.com/plantainwheel/plantainwheel/internal/peer/reporter"
 	"github.com/plantainwheel/plantainwheel/internal/platform/watcher"
+	"github.com/plantainwheel/plantainwheel/internal/policy/allocator"
 	"github.com/plantainwheel/plantainwheel/internal/policy/regulator"
 	"github.com/plantainwheel/plantainwheel/internal/route/keeper"
 	"github.com/plantainwheel/plantainwheel/internal/route/transporter"
@@ -48,6 +49,8 @@
 	tickInterval = 50 * time.Millisecond
 	// planInterval is the interval at which the admission plan is recomputed.
 	planInterval = 100 * time.Millisecond
+	// costsInterval is the interval at which the costs of requests are summed up over all nodes. They change slowly.
+	costsInterval = 500 * time.Millisecond
 	// housekeepingInterval is the interval at which idle connections are closed and the load is logged.
 	housekeepingInterval = time.Second
 	// targetIdleTimeout is how long an idle connection to the target is kept open.
@@ -93,6 +96,10 @@
 	// targetLogLimiter limits the log lines on what the target says in its answers.
 	targetLogLimiter loglimiter.Limiter
 
+	// totalCosts holds the costs of requests at the time costsAt. Only plan uses them.
+	totalCosts allocator.TotalCosts
+	costsAt    time.Time
+
 	// planMu guards the results of the last plan. No other lock is acquired while it is held.
 	planMu        sync.Mutex
 	demand        map[string]float64
--- a/internal/node/attendant/report.go
+++ b/internal/node/attendant/report.go
@@ -12,7 +12,11 @@
 
 // plan updates the admission plan from the costs, slots and demand that all nodes report.
 func (a *Attendant) plan(now time.Time) {
-	costs := allocator.NewTotalCosts(a.tracker.RouteCosts(now))
+	if now.Sub(a.costsAt) >= costsInterval || now.Sub(a.started) < startupUrgentPeriod {
+		a.costsAt = now
+		a.totalCosts = allocator.NewTotalCosts(a.tracker.RouteCosts(now))
+	}
+	costs := a.totalCosts
 	services := a.tracker.Services(now)
 	a.gateway.RateLimits.SetNodes(a.liveNodes(now))
 	demand := a.gateway.Shedder.UpdateDemand(costs)
@@ -178,6 +182,7 @@
 		Slots:          t.Slots,
 		State:          tracker.Ready,
 		WarmUpEndMs:    t.WarmUpEnd.UnixMilli(),
+		TakesBatches:   true,
 	}
 	switch {
 	case t.Gone:
--- a/internal/peer/reporter/reporter.go
+++ b/internal/peer/reporter/reporter.go
@@ -1,8 +1,10 @@
 // Package reporter exchanges reports of load, costs and rate usage with the other nodes over UDP.
 //
 // A report is sent to each node of the same data centre and to one node of each other data centre, which relays
-// it to the nodes of its own, because traffic between data centres is billed by volume. The relay is chosen at
-// random for each report, so that a node that is down loses only some of the reports to its data centre.
+// it to the nodes of its own, because traffic between data centres is billed by volume. Each data centre has a few
+// relays, so that a relay receives many reports and passes them on together: the number of datagrams would grow as the
+// square of the fleet otherwise. The relay is chosen at random among them for each report, so that a node that is down
+// loses only some of the reports to its data centre.
 //
 // The use of rate limits changes fast and is small, so it is also sent on its own between two reports.
 package reporter
@@ -18,7 +20,8 @@
 	"time"
 
 	"github.com/plantainwheel/plantainwheel/internal/fleet/tracker"
-	"github.com/ugorji/go/codec"
+	"github.com/plantainwheel/plantainwheel/internal/policy/elector"
+	"github.com/tinylib/msgp/msgp"
 )
 
 const (
@@ -44,6 +47,16 @@
 	// kindUsage and kindUsageRelay are the same for usage reports.
 	kindUsage      = 2
 	kindUsageRelay = 3
+	// kindBatch precedes several reports, each of which is preceded by kindDirect or kindUsage.
+	kindBatch = 4
+)
+
+const (
+	// relayPurpose is the purpose for which relays are ranked, and relaysPerDataCentre their number.
+	relayPurpose        = "relay"
+	relaysPerDataCentre = 3
+	// maxBatchBytes is the size from which a batch is sent at once. A smaller one is sent at the next check.
+	maxBatchBytes = 16 << 10
 )
 
 // Reporter exchanges reports with the other nodes.
@@ -62,19 +75,14 @@
 	OnUsages func(node string, started int64, usages []tracker.AccountUsage)
 
 	conn    *net.UDPConn
-	handle  codec.MsgpackHandle
 	started int64
 	done    sync.WaitGroup
 
 	sequence uint64
-}
 
-// usageReport reports the account usages that have changed since the latest report.
-type usageReport struct {
-	Node          string
-	Started       int64
-	Sequence      uint64
-	AccountUsages []tracker.AccountUsage
+	batchMu sync.Mutex
+	// batch holds the received reports that are to be relayed, as a datagram. It is empty if there are none.
+	batch []byte
 }
 
 // Open opens the UDP socket.
@@ -88,8 +96,6 @@
 		return fmt.Errorf("listen for reports: %w", err)
 	}
 	r.started = time.Now().UnixMilli()
-	// Encoded as arrays, because the field names would take more bytes than the values.
-	r.handle.StructToArray = true
 	return nil
 }
 
@@ -109,6 +115,7 @@
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
+			r.flush()
 			if now.Sub(last) >= r.period(minPeriod) {
 				last, lastUsage = now, now
 				report := r.BuildReport()
@@ -141,8 +148,7 @@
 	kind byte
 }
 
-// destinations returns the other nodes of this data centre, and one random node of each other data centre,
-// chosen from the responsive ones if there are any.
+// destinations returns the other nodes of this data centre, and one of the relays of each other data centre.
 func (r *Reporter) destinations() []destination {
 	var list []destination
 	others := map[string][]tracker.Member{}
@@ -154,14 +160,26 @@
 		others[m.DataCentre] = append(others[m.DataCentre], m)
 	}
 	for _, members := range others {
-		if reachable := r.Tracker.Responsive(time.Now(), members); len(reachable) > 0 {
-			members = reachable
-		}
-		list = append(list, destination{members[rand.IntN(len(members))], kindRelay})
+		list = append(list, destination{r.chooseRelay(members), kindRelay})
 	}
 	return list
 }
 
+// chooseRelay returns one of the relays among the members of a data centre, which are the first of those that respond.
+func (r *Reporter) chooseRelay(members []tracker.Member) tracker.Member {
+	if reachable := r.Tracker.Responsive(time.Now(), members); len(reachable) > 0 {
+		members = reachable
+	}
+	byName := map[string]tracker.Member{}
+	names := make([]string, 0, len(members))
+	for _, m := range members {
+		byName[m.Node] = m
+		names = append(names, m.Node)
+	}
+	relays := elector.Rank(relayPurpose, names)
+	return byName[relays[rand.IntN(min(len(relays), relaysPerDataCentre))]]
+}
+
 // send sends the report to all destinations and returns the total number of bytes.
 func (r *Reporter) send(report *tracker.Report) int {
 	r.sequence++
@@ -174,19 +192,18 @@
 // sendUsages sends the account usages to all destinations and returns the total number of bytes.
 func (r *Reporter) sendUsages(usages []tracker.AccountUsage) int {
 	r.sequence++
-	return r.broadcast(kindUsage, &usageReport{
+	return r.broadcast(kindUsage, &tracker.UsageReport{
 		Node: r.Tracker.Self, Started: r.started, Sequence: r.sequence, AccountUsages: usages,
 	})
 }
 
 // broadcast sends the report to all destinations, as base or the kind that is relayed. It returns the total number of
 // bytes, or 0 if the report cannot be encoded within maxReportBytes.
-func (r *Reporter) broadcast(base byte, report any) int {
-	var body []byte
-	if err := codec.NewEncoderBytes(&body, &r.handle).Encode(report); err != nil || len(body) > maxReportBytes {
+func (r *Reporter) broadcast(base byte, report msgp.Marshaler) int {
+	raw, err := report.MarshalMsg([]byte{base})
+	if err != nil || len(raw) > maxReportBytes {
 		return 0
 	}
-	raw := append([]byte{base}, body...)
 	destinations := r.destinations()
 	for _, to := range destinations {
 		raw[0] = base + to.kind
@@ -218,53 +235,103 @@
 	}
 }
 
-// handleDatagram decodes and applies a report. If the datagram is to be relayed, it forwards the report to the other
-// nodes of this data centre.
+// handleDatagram decodes and applies the reports of a datagram.
 func (r *Reporter) handleDatagram(raw []byte) {
+	if raw[0] != kindBatch {
+		_ = r.handleOne(raw)
+		return
+	}
+	for raw = raw[1:]; len(raw) > 1 && (raw[0] == kindDirect || raw[0] == kindUsage); {
+		raw = r.handleOne(raw)
+	}
+}
+
+// handleOne decodes and applies the first report of a datagram, and relays it to the other nodes of this data centre if
+// it asks for that. It returns the bytes that follow, or nil if the report could not be decoded.
+func (r *Reporter) handleOne(raw []byte) []byte {
 	kind := raw[0]
-	var node string
+	var rest []byte
 	var newer bool
 	switch kind {
 	case kindDirect, kindRelay:
-		node, newer = r.handleReport(raw[1:])
+		rest, newer = r.handleReport(raw[1:])
 	case kindUsage, kindUsageRelay:
-		node, newer = r.handleUsages(raw[1:])
+		rest, newer = r.handleUsages(raw[1:])
 	}
-	if !newer || (kind != kindRelay && kind != kindUsageRelay) {
+	if newer && (kind == kindRelay || kind == kindUsageRelay) {
+		r.relay(kind-kindRelay, raw[1:len(raw)-len(rest)])
+	}
+	return rest
+}
+
+// relay adds a report to the batch that is sent to the other nodes of this data centre.
+func (r *Reporter) relay(kind byte, report []byte) {
+	r.batchMu.Lock()
+	if len(r.batch) == 0 {
+		r.batch = append(r.batch, kindBatch)
+	}
+	r.batch = append(append(r.batch, kind), report...)
+	full := len(r.batch) >= maxBatchBytes
+	r.batchMu.Unlock()
+	if full {
+		r.flush()
+	}
+}
+
+// flush sends the batch. Nodes of earlier versions get its reports one by one.
+func (r *Reporter) flush() {
+	r.batchMu.Lock()
+	defer r.batchMu.Unlock()
+	if len(r.batch) == 0 {
 		return
 	}
-	raw[0] = kind - kindRelay
 	for _, m := range r.Tracker.OtherMembers() {
-		if m.DataCentre == r.Tracker.DataCentre && m.Node != node {
-			r.write(raw, m)
+		if m.DataCentre != r.Tracker.DataCentre {
+			continue
+		}
+		if m.TakesBatches {
+			r.write(r.batch, m)
+			continue
+		}
+		for rest := r.batch[1:]; len(rest) > 1; {
+			next, err := msgp.Skip(rest[1:])
+			if err != nil {
+				break
+			}
+			r.write(rest[:len(rest)-len(next)], m)
+			rest = next
 		}
 	}
+	r.batch = r.batch[:0]
 }
 
-// handleReport applies a report and returns its node and whether it is newer than the previous one.
-func (r *Reporter) handleReport(body []byte) (node string, newer bool) {
+// handleReport applies a report. It returns the bytes that follow, or nil if it cannot be decoded, and whether the report
+// is newer than the previous one of its node.
+func (r *Reporter) handleReport(raw []byte) (rest []byte, newer bool) {
 	var report tracker.Report
-	if err := codec.NewDecoderBytes(body, &r.handle).Decode(&report); err != nil {
-		return "", false
+	rest, err := report.UnmarshalMsg(raw)
+	if err != nil {
+		return nil, false
 	}
 	if !r.Tracker.ApplyReport(time.Now(), &report) {
-		return "", false
+		return rest, false
 	}
-	r.applyUsages(&usageReport{report.Node, report.Started, report.Sequence, report.AccountUsages})
-	return report.Node, true
+	r.applyUsages(&tracker.UsageReport{Node: report.Node, Started: report.Started, Sequence: report.Sequence, AccountUsages: report.AccountUsages})
+	return rest, true
 }
 
-// handleUsages applies a usage report and returns its node and whether it is newer than the previous one.
-func (r *Reporter) handleUsages(body []byte) (node string, newer bool) {
-	var report usageReport
-	if err := codec.NewDecoderBytes(body, &r.handle).Decode(&report); err != nil {
-		return "", false
+// handleUsages does the same for a usage report.
+func (r *Reporter) handleUsages(raw []byte) (rest []byte, newer bool) {
+	var report tracker.UsageReport
+	rest, err := report.UnmarshalMsg(raw)
+	if err != nil {
+		return nil, false
 	}
-	return report.Node, r.applyUsages(&report)
+	return rest, r.applyUsages(&report)
 }
 
 // applyUsages passes on the account usages if they are newer than the previous ones of the node.
-func (r *Reporter) applyUsages(u *usageReport) bool {
+func (r *Reporter) applyUsages(u *tracker.UsageReport) bool {
 	newer := r.Tracker.ApplyUsages(u.Node, u.Started, u.Sequence)
 	if newer {
 		r.OnUsages(u.Node, u.Started, u.AccountUsages)
--- a/internal/peer/reporter/reporter_test.go
+++ b/internal/peer/reporter/reporter_test.go
@@ -16,12 +16,22 @@
 // TestReportsReachEveryNode checks that each node receives the reports of each other node, directly within a data
 // centre and through relays between data centres, the same for usage reports, and that malformed datagrams are ignored.
 func TestReportsReachEveryNode(t *testing.T) {
-	const n = 6
+	for name, takesBatches := range map[string]func(i int) bool{
+		"nodes of an earlier version": func(int) bool { return false },
+		"both versions":               func(i int) bool { return i%3 > 0 },
+		"in batches":                  func(int) bool { return true },
+	} {
+		t.Run(name, func(t *testing.T) { testReportsReachEveryNode(t, takesBatches) })
+	}
+}
+
+func testReportsReachEveryNode(t *testing.T, takesBatches func(i int) bool) {
+	const n = 10
 	members := make([]tracker.Member, n)
 	for i := range members {
 		c, err := net.ListenPacket("udp4", "127.0.0.1:0")
 		assert.NilError(t, err)
-		members[i] = tracker.Member{Node: fmt.Sprint(i), DataCentre: fmt.Sprint("dc-", i%2), ReportAddress: c.LocalAddr().String()}
+		members[i] = tracker.Member{Node: fmt.Sprint(i), DataCentre: fmt.Sprint("dc-", i%2), ReportAddress: c.LocalAddr().String(), TakesBatches: takesBatches(i)}
 		assert.NilError(t, c.Close())
 	}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -56,7 +66,7 @@
 	noise, err := net.Dial("udp4", members[0].ReportAddress)
 	assert.NilError(t, err)
 	defer noise.Close()
-	for _, raw := range []string{"", "x", "\x00\xff\xff\xff", "\x01\x9d", "\x02\x94", "\x04x"} {
+	for _, raw := range []string{"", "x", "\x00\xff\xff\xff", "\x01\x9d", "\x02\x94", "\x04x", "\x04\x00\xff", "\x04\x00\xc0\x02\x94", "\x04\x02\x94\xa0\x00\x00\xdd\xff\xff\xff\xff"} {
 		_, _ = noise.Write([]byte(raw))
 	}
 	all := func() bool {
--- a/internal/platform/watcher/neighbours_test.go
+++ b/internal/platform/watcher/neighbours_test.go
@@ -45,9 +45,9 @@
 	// store and control serve the node's calls of the store, and the questions of other nodes.
 	store, control           *httptest.Server
 	storeFault, controlFault atomic.Int32
-	calls        atomic.Int64
-	cancel       context.CancelFunc
-	done         sync.WaitGroup
+	calls                    atomic.Int64
+	cancel                   context.CancelFunc
+	done                     sync.WaitGroup
 }
 
 // fail sets the faults and ends the calls in progress.
@@ -168,7 +168,7 @@
 		names = append(names, n.name)
 	}
 	var list []*neighbour
-	for _, name := range elector.Rank(names) {
+	for _, name := range elector.Rank("", names) {
 		list = append(list, byName[name])
 		delete(byName, name)
 	}
--- a/internal/policy/elector/elector.go
+++ b/internal/policy/elector/elector.go
@@ -73,7 +73,7 @@
 
 // Choose returns the source, given the names of the other nodes of the data centre that respond.
 func (e *Elector) Choose(now time.Duration, others []string) Choice {
-	ranked := Rank(append(slices.Clone(others), e.Self))
+	ranked := Rank("", append(slices.Clone(others), e.Self))
 	first := slices.IndexFunc(ranked, func(n string) bool { return n != e.Self && !e.failed(now, n) })
 	own := slices.Index(ranked, e.Self)
 	e.reading = now < e.askedUntil || own >= 0 && own < maxRanked && (first < 0 || own < first) || len(others) == 0
@@ -91,12 +91,12 @@
 }
 
 // Rank returns the first of the nodes, maxRankedWithoutStore at most, in an order by a hash of their names that is the
-// same on all nodes.
-func Rank(nodes []string) []string {
+// same on all nodes. Each purpose has another order, so that not all work falls on the same nodes.
+func Rank(purpose string, nodes []string) []string {
 	first := make([]string, 0, maxRankedWithoutStore+1)
 	hashes := make([]uint64, 0, maxRankedWithoutStore+1)
 	for _, n := range nodes {
-		h := hash(n)
+		h := hash(purpose, n)
 		i := len(first)
 		for i > 0 && (h < hashes[i-1] || h == hashes[i-1] && n < first[i-1]) {
 			i--
@@ -110,11 +110,13 @@
 	return first
 }
 
-// hash is the 64-bit FNV-1a hash.
-func hash(text string) uint64 {
+// hash is the 64-bit FNV-1a hash of both texts.
+func hash(purpose, name string) uint64 {
 	h := uint64(14695981039346656037)
-	for i := range len(text) {
-		h = (h ^ uint64(text[i])) * 1099511628211
+	for _, text := range [...]string{purpose, name} {
+		for i := range len(text) {
+			h = (h ^ uint64(text[i])) * 1099511628211
+		}
 	}
 	return h
 }
--- a/internal/policy/elector/elector_test.go
+++ b/internal/policy/elector/elector_test.go
@@ -16,7 +16,7 @@
 	long, short = map[string]string{"store": elector.Store}, map[string]string{elector.Store: "store"}
 	nodes := []string{"vm-1", "vm-2", "vm-3", "vm-4", "vm-5"}
 	for _, s := range []string{"a", "b", "c", "d", "e"} {
-		first := elector.Rank(nodes)[0]
+		first := elector.Rank("", nodes)[0]
 		long[s], short[first] = first, s
 		nodes = slices.DeleteFunc(nodes, func(n string) bool { return n == first })
 	}
@@ -87,7 +87,7 @@
 
 // TestRankIsBalanced checks that the ranking depends on the names only, not on their order.
 func TestRankIsBalanced(t *testing.T) {
-	assert.DeepEqual(t, elector.Rank([]string{"x", "y", "z"}), elector.Rank([]string{"z", "x", "y"}))
+	assert.DeepEqual(t, elector.Rank("", []string{"x", "y", "z"}), elector.Rank("", []string{"z", "x", "y"}))
 }
 
 // BenchmarkChoose measures one choice in a data centre of 200 nodes.
