Make reports cheaper to receive and to sum up, and the start of a fleet cheaper for the store

Change: reports of an account lie in a list by the node's position; demand is summed by the service's position; the sorted members are kept until they change; a configuration equal to the one in force is not decoded. At the first start of a fleet nodes gather members for 0.6 s and wait longer for the configuration; only four nodes of a service store their costs, the others take over those of their service.

--- a/internal/fleet/tracker/tracker.go
+++ b/internal/fleet/tracker/tracker.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/plantainwheel/plantainwheel/internal/policy/allocator"
+	"github.com/plantainwheel/plantainwheel/internal/policy/elector"
 	"github.com/plantainwheel/plantainwheel/internal/policy/placer"
 )
 
@@ -53,6 +54,8 @@
 	// refusalBackoff is the time for which a node is suspect after it refused a request although its report
 	// showed free capacity.
 	refusalBackoff = 100 * time.Millisecond
+	// maxServices bounds the services for which other nodes may report a demand.
+	maxServices = 10_000
 	// maxLoadAge is the age above which a reported load is ignored.
 	maxLoadAge = 3 * time.Second
 )
@@ -68,16 +71,30 @@
 
 	mu    sync.Mutex
 	peers map[string]*peer
-	// byService holds the peers by the service of their targets. It is nil after a change of the members.
+	// byService holds the peers by the service of their targets, and others the members except this node. Both are nil
+	// after a change of the members.
 	byService map[string][]*peer
-	// restored holds, by node, the costs that were learned before this process started.
+	others    []Member
+	// services holds the position of each service in serviceNames.
+	services     map[string]int
+	serviceNames []string
+	// restored holds, by node, the costs that were learned before this process started, and restoredOf, by service, those
+	// of one of its nodes.
 	restored   map[string]NodeCosts
+	restoredOf map[string]NodeCosts
 	statements map[incarnation]statement
 }
 
+// serviceDemand is the demand of a service, in slots, by its position in Tracker.serviceNames.
+type serviceDemand struct {
+	service int
+	slots   float64
+}
+
 type peer struct {
 	Member
 	report   Report
+	demand   []serviceDemand
 	lastSeen time.Time
 	// usagesStarted and usagesSequence are those of the latest report with account usages.
 	usagesStarted  int64
@@ -110,7 +127,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	p := t.peer(m.Node)
-	t.byService = nil
+	t.byService, t.others = nil, nil
 	if p.Target != m.Target || p.Address != m.Address || p.State != m.State {
 		p.suspectUntil = time.Time{}
 		p.lastSeen = time.Now()
@@ -123,7 +140,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	delete(t.peers, node)
-	t.byService = nil
+	t.byService, t.others = nil, nil
 }
 
 // ApplyReport stores a report. It returns false if the node is unknown or has already sent a newer report or the
@@ -139,12 +156,37 @@
 		return false
 	}
 	p.report = *r
+	t.setDemand(p, r.Demand)
 	p.lastSeen = now
 	p.suspectUntil = time.Time{}
 	p.setLoad(now, r.Running, r.Waiting, r.Limit)
 	return true
 }
 
+// setDemand stores the demand by the position of the service, because it is summed up far more often than received.
+func (t *Tracker) setDemand(p *peer, demand map[string]float32) {
+	p.demand = p.demand[:0]
+	for service, slots := range demand {
+		if _, known := t.services[service]; !known && len(t.serviceNames) >= maxServices {
+			continue
+		}
+		p.demand = append(p.demand, serviceDemand{t.serviceIndex(service), float64(slots)})
+	}
+}
+
+func (t *Tracker) serviceIndex(service string) int {
+	i, ok := t.services[service]
+	if !ok {
+		if t.services == nil {
+			t.services = map[string]int{}
+		}
+		i = len(t.serviceNames)
+		t.services[service] = i
+		t.serviceNames = append(t.serviceNames, service)
+	}
+	return i
+}
+
 // isNewer reports whether a report is newer than an old one of the same node.
 func isNewer(started int64, sequence uint64, oldStarted int64, oldSequence uint64) bool {
 	return cmp.Or(cmp.Compare(started, oldStarted), cmp.Compare(sequence, oldSequence)) > 0
@@ -269,7 +311,7 @@
 		c.FailureRate = float64(p.report.FailureRate)
 		c.Suspect = c.Suspect || !p.report.Up
 	}
-	c.HoldTime = holdTimeOf(t.routeCosts(p), route)
+	c.HoldTime = holdTimeOf(t.expectedCosts(p), route)
 	return c
 }
 
@@ -302,40 +344,51 @@
 func (t *Tracker) Services(now time.Time) map[string]Service {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	services := map[string]Service{}
+	sums := make([]Service, len(t.serviceNames))
+	known := make([]bool, len(t.serviceNames))
 	for _, p := range t.peers {
 		if p.report.Sequence == 0 || t.reportOverdue(now, p) {
 			continue
 		}
-		t.addDemand(services, p)
+		if p.Node != t.Self {
+			for _, d := range p.demand {
+				sums[d.service].Demand += d.slots
+				known[d.service] = true
+			}
+		}
 		if p.State != Ready || !p.report.Up || p.report.Limit == 0 {
 			continue
 		}
-		s := services[p.Service]
-		s.Slots += p.report.Limit
-		s.Load += float64(p.report.Load) * float64(p.report.Limit)
-		s.Correction += float64(p.report.Correction) * float64(p.report.Limit)
-		services[p.Service] = s
-	}
-	for name, s := range services {
-		if s.Slots > 0 {
-			s.Load /= float64(s.Slots)
-			s.Correction /= float64(s.Slots)
+		i := t.serviceIndex(p.Service)
+		for i >= len(sums) {
+			sums, known = append(sums, Service{}), append(known, false)
+		}
+		sums[i].add(&p.report)
+		known[i] = true
+	}
+	services := map[string]Service{}
+	for i, s := range sums {
+		if known[i] {
+			services[t.serviceNames[i]] = s.mean()
 		}
-		services[name] = s
 	}
 	return services
 }
 
-func (t *Tracker) addDemand(services map[string]Service, p *peer) {
-	if p.Node == t.Self {
-		return
-	}
-	for service, slots := range p.report.Demand {
-		s := services[service]
-		s.Demand += float64(slots)
-		services[service] = s
+// add adds a target to the sums.
+func (s *Service) add(r *Report) {
+	s.Slots += r.Limit
+	s.Load += float64(r.Load) * float64(r.Limit)
+	s.Correction += float64(r.Correction) * float64(r.Limit)
+}
+
+// mean returns the aggregate of the targets that were added.
+func (s Service) mean() Service {
+	if s.Slots > 0 {
+		s.Load /= float64(s.Slots)
+		s.Correction /= float64(s.Slots)
 	}
+	return s
 }
 
 // NodeCosts is the stored record of the costs that a node has learned for its target.
@@ -351,9 +404,28 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.restored == nil {
-		t.restored = map[string]NodeCosts{}
+		t.restored, t.restoredOf = map[string]NodeCosts{}, map[string]NodeCosts{}
 	}
 	t.restored[c.Node] = c
+	t.restoredOf[c.Service] = c
+}
+
+// maxCostWriters is the number of nodes of a service that store their costs. If all nodes are lost, these are lost with
+// them only if the store loses their records.
+const maxCostWriters = 4
+
+// WritesCosts reports whether this node stores the costs of its target for the service.
+func (t *Tracker) WritesCosts(now time.Time, service string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	names := []string{t.Self}
+	for _, p := range t.peersOf(service) {
+		if p.Node != t.Self && p.State == Ready && !t.reportOverdue(now, p) {
+			names = append(names, p.Node)
+		}
+	}
+	ranked := elector.Rank("costs", names)
+	return slices.Contains(ranked[:min(len(ranked), maxCostWriters)], t.Self)
 }
 
 // routeCosts returns the costs that the node has reported, or its restored costs if it has reported none.
@@ -367,6 +439,15 @@
 	return nil
 }
 
+// expectedCosts returns the costs of the node or, since only some nodes store theirs, those that another node of its
+// service had stored.
+func (t *Tracker) expectedCosts(p *peer) []RouteCosts {
+	if costs := t.routeCosts(p); len(costs) > 0 {
+		return costs
+	}
+	return t.restoredOf[p.Service].RouteCosts
+}
+
 // RouteCosts returns the costs of a request of each route, averaged over the targets. The costs of lost targets
 // are used only for routes for which no live target has costs.
 func (t *Tracker) RouteCosts(now time.Time) map[string]allocator.RouteCosts {
@@ -420,10 +501,13 @@
 	return costs
 }
 
-// OtherMembers returns all members except this node, ordered by name.
+// OtherMembers returns all members except this node, ordered by name. The caller must not change the list.
 func (t *Tracker) OtherMembers() []Member {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.others != nil {
+		return t.others
+	}
 	list := make([]Member, 0, len(t.peers))
 	for _, p := range t.peers {
 		if p.Node != t.Self {
@@ -431,6 +515,7 @@
 		}
 	}
 	slices.SortFunc(list, func(a, b Member) int { return cmp.Compare(a.Node, b.Node) })
+	t.others = list
 	return list
 }
 
--- a/internal/node/attendant/report.go
+++ b/internal/node/attendant/report.go
@@ -133,16 +133,21 @@
 	return out
 }
 
-// costRecord returns the learned request costs in their stored form.
+// costRecord returns the learned request costs in their stored form, or none if enough other nodes of the service store
+// theirs.
 func (a *Attendant) costRecord() tracker.NodeCosts {
-	return tracker.NodeCosts{Node: a.Settings.Node, Service: a.executor.Target().Service, RouteCosts: a.routeCosts()}
+	service := a.executor.Target().Service
+	if !a.tracker.WritesCosts(time.Now(), service) {
+		return tracker.NodeCosts{}
+	}
+	return tracker.NodeCosts{Node: a.Settings.Node, Service: service, RouteCosts: a.routeCosts()}
 }
 
-// restoreCosts restores the request costs that a node had stored before this process started. Costs that this node
-// had stored are also restored to its executor.
+// restoreCosts restores the request costs that a node had stored before this process started. Costs of the service of
+// this node's target are also restored to its executor.
 func (a *Attendant) restoreCosts(c tracker.NodeCosts) {
 	a.tracker.Restore(c)
-	if c.Node != a.Settings.Node {
+	if c.Service != a.Settings.Service {
 		return
 	}
 	var costs []estimator.RouteCosts
--- a/internal/peer/adviser/adviser.go
+++ b/internal/peer/adviser/adviser.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/phuslu/log"
@@ -86,7 +87,7 @@
 
 // pollPeers queries up to fanOut random nodes in parallel and waits for all of them.
 func (p *Poller) pollPeers(ctx context.Context) {
-	others := p.Tracker.OtherMembers()
+	others := slices.Clone(p.Tracker.OtherMembers())
 	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
 	done := make(chan struct{}, fanOut)
 	n := min(fanOut, len(others))
--- a/internal/platform/watcher/costs.go
+++ b/internal/platform/watcher/costs.go
@@ -26,7 +26,9 @@
 	t := w.newTopic(platform.CostTopic, 0, firstNeighbourWait, maxCostsAge)
 	t.apply = w.applyCosts
 	w.awaitMembers(ctx)
-	if !t.read(ctx) {
+	// A fleet that starts for the first time has not stored any costs.
+	firstStart := w.Neighbours != nil && w.membersEmpty.Load()
+	if !firstStart && !t.read(ctx) {
 		return
 	}
 	var stored []tracker.RouteCosts
--- a/internal/platform/watcher/source.go
+++ b/internal/platform/watcher/source.go
@@ -77,6 +77,12 @@
 	return s.name
 }
 
+// hasNeighbours reports whether there are other nodes of the data centre that may read the store for this one.
+func (s *sources) hasNeighbours() bool {
+	others, _ := s.others()
+	return len(others) > 0
+}
+
 // others returns the other nodes of the data centre that may read the store for this one, and their control addresses.
 func (s *sources) others() ([]string, map[string]string) {
 	if s.tracker == nil {
--- a/internal/platform/watcher/topic.go
+++ b/internal/platform/watcher/topic.go
@@ -196,6 +196,10 @@
 // is sent after the store's era has settled, so an earlier one waits no longer than until then.
 func (t *topic) storeWait() time.Duration {
 	if remaining := t.eras.remaining(); remaining > 0 {
+		if t.neighbours != nil && !t.sources.hasNeighbours() {
+			// A fleet that starts for the first time. All its nodes read the store until they know each other.
+			return remaining
+		}
 		return min(t.wait, remaining)
 	}
 	if t.immediate || t.settling {
--- a/internal/platform/watcher/watcher.go
+++ b/internal/platform/watcher/watcher.go
@@ -35,10 +35,11 @@
 	// restartSpread is multiplied by the number of members to obtain the time over which nodes spread the calls that each
 	// of them makes after a restore of the store.
 	restartSpread = time.Millisecond
-	// gatherPerNode is multiplied by the number of members to obtain the pause after a read that returned records, which
-	// is at most maxGatherTime. Without it, a start of the whole fleet makes as many calls as the square of its size.
-	gatherPerNode = 5 * time.Millisecond
-	maxGatherTime = 200 * time.Millisecond
+	// gatherTime is the pause after a read that returned records. Without it, a start of the whole fleet makes as many
+	// calls as the square of its size. startGatherTime replaces it while no neighbour is known, because all nodes then
+	// read the store.
+	gatherTime      = 200 * time.Millisecond
+	startGatherTime = 600 * time.Millisecond
 )
 
 // Store is the part of the platform's store that the watcher uses.
@@ -86,7 +87,9 @@
 	sources map[string]*sources
 	// membersRead is closed once the members have been read for the first time.
 	membersRead chan struct{}
-	own         ownRecord
+	// membersEmpty is set if there were none then.
+	membersEmpty atomic.Bool
+	own          ownRecord
 	// storedVersion is the version of the newest configuration in the store. Only FollowConfig uses it.
 	storedVersion uint64
 	// ownRestored is set once the members have been read after the start. Only FollowMembers uses it.
@@ -201,7 +204,12 @@
 	t := w.newTopic(platform.MemberTopic, memberReadWait, memberNeighbourWait, maxMemberAge)
 	t.apply, t.onApplied, t.reset = w.applyMembers, w.confirmMembers, w.resetMembers
 	t.restartSpread = func() time.Duration { return w.spread(restartSpread) }
-	t.gatherTime = func() time.Duration { return min(w.spread(gatherPerNode), maxGatherTime) }
+	t.gatherTime = func() time.Duration {
+		if w.Neighbours != nil && !t.sources.hasNeighbours() {
+			return startGatherTime
+		}
+		return gatherTime
+	}
 	t.follow(ctx)
 }
 
@@ -211,6 +219,7 @@
 	}
 	if !w.ownRestored {
 		w.ownRestored = true
+		w.membersEmpty.Store(len(records) == 0)
 		close(w.membersRead)
 	}
 	return true
--- a/internal/policy/windowlimiter/windowlimiter.go
+++ b/internal/policy/windowlimiter/windowlimiter.go
@@ -79,6 +79,8 @@
 
 	accounts map[string]*account
 	nodes    int
+	// indexes holds the position of each other node in the reports of an account.
+	indexes map[string]int
 }
 
 type account struct {
@@ -92,7 +94,9 @@
 	rateTokens  float64
 	admitTokens float64
 	refilledAt  time.Duration
-	reports     map[string]report
+	// reports holds the latest report of each other node; known counts those that are not expired.
+	reports []report
+	known   int
 	// ended holds the latest reports of processes that a newer one has replaced. What they admitted may still be within
 	// the window.
 	ended []report
@@ -107,21 +111,29 @@
 
 type report struct {
 	Usage
-	at time.Duration
+	// known is false if there is no report of the node, or if it has expired.
+	known bool
+	at    time.Duration
 	// started is when the process that sent the report started.
 	started int64
 }
 
+// current returns the account with the counts of the window that ends now.
+func (l *Limiter) current(now time.Duration, name string) *account {
+	a := l.account(now, name)
+	a.advance(now, l.Window)
+	return a
+}
+
 func (l *Limiter) account(now time.Duration, name string) *account {
 	if l.accounts == nil {
 		l.accounts = map[string]*account{}
 	}
 	a := l.accounts[name]
 	if a == nil {
-		a = &account{reports: map[string]report{}, demandSince: now, refilledAt: now, admitTokens: minAdmitTokens}
+		a = &account{demandSince: now, refilledAt: now, admitTokens: minAdmitTokens}
 		l.accounts[name] = a
 	}
-	a.advance(now, l.Window)
 	return a
 }
 
@@ -162,15 +174,39 @@
 // Receive records another node's report on an account.
 func (l *Limiter) Receive(now time.Duration, from Process, name string, usage Usage) {
 	a := l.account(now, name)
-	old := a.reports[from.Node]
+	old := a.report(l.index(from.Node))
 	if old.started > from.Started {
 		return
 	}
 	if old.started < from.Started && old.Admitted > 0 {
 		a.dropEnded(now, l.Window)
-		a.ended = append(a.ended, old)
+		a.ended = append(a.ended, *old)
+	}
+	if !old.known {
+		a.known++
 	}
-	a.reports[from.Node] = report{Usage: usage, at: now, started: from.Started}
+	*old = report{Usage: usage, known: true, at: now, started: from.Started}
+}
+
+// index returns the position of a node in the reports of an account.
+func (l *Limiter) index(node string) int {
+	i, ok := l.indexes[node]
+	if !ok {
+		if l.indexes == nil {
+			l.indexes = map[string]int{}
+		}
+		i = len(l.indexes)
+		l.indexes[node] = i
+	}
+	return i
+}
+
+// report returns the report at the position, which may be empty.
+func (a *account) report(i int) *report {
+	if i >= len(a.reports) {
+		a.reports = append(a.reports, make([]report, i+1-len(a.reports))...)
+	}
+	return &a.reports[i]
 }
 
 // SetNodes sets the number of nodes that share the limits.
@@ -184,7 +220,7 @@
 	if limit.Rate <= 0 {
 		return true, 0
 	}
-	a := l.account(now, name)
+	a := l.current(now, name)
 	a.offered++
 	windowLimit := limit.Rate*l.Window.Seconds() + limit.Burst
 	used, unreported, demand := a.fleetUsage(now, l.Window, windowLimit/l.Window.Seconds())
@@ -208,7 +244,7 @@
 
 // Count records that an admitted request is sent to a target.
 func (l *Limiter) Count(now time.Duration, name string) {
-	a := l.account(now, name)
+	a := l.current(now, name)
 	a.counts[a.currentSlice%ringSize]++
 	a.rateTokens = max(a.rateTokens-1, 0)
 }
@@ -218,15 +254,20 @@
 // admits at most its demand and at most its share of the rate.
 func (a *account) fleetUsage(now, window time.Duration, rate float64) (used, unreported, demand float64) {
 	demand = max(a.demand, minDemand)
-	for node, r := range a.reports {
-		if now-r.at > 2*window {
-			delete(a.reports, node)
-			continue
+	for i := range a.reports {
+		r := &a.reports[i]
+		if r.known && now-r.at > 2*window {
+			*r = report{}
+			a.known--
 		}
 		demand += r.Demand
 	}
 	used = a.admitted() + a.admittedByEnded(now, window)
-	for _, r := range a.reports {
+	for i := range a.reports {
+		r := &a.reports[i]
+		if !r.known {
+			continue
+		}
 		since := min(now-r.at, window/sliceCount).Seconds()
 		used += r.Admitted
 		unreported += since * min(r.Demand, rate*r.Demand/demand)
@@ -265,7 +306,7 @@
 	switch {
 	case l.nodes == 0:
 		return 0
-	case now-l.Started < warmUpTime || (len(a.reports) == 0 && l.nodes > 1):
+	case now-l.Started < warmUpTime || (a.known == 0 && l.nodes > 1):
 		return 1 / float64(l.nodes)
 	default:
 		return max(a.demand, minDemand) / demand
@@ -295,7 +336,7 @@
 func (l *Limiter) report(now time.Duration, choose func(*account, Usage) bool) map[string]Usage {
 	out := map[string]Usage{}
 	for name := range l.accounts {
-		a := l.account(now, name)
+		a := l.current(now, name)
 		u := Usage{Admitted: a.admitted(), Demand: a.demand}
 		if choose(a, u) {
 			a.reported = u
--- a/internal/route/keeper/keeper.go
+++ b/internal/route/keeper/keeper.go
@@ -2,6 +2,7 @@
 package keeper
 
 import (
+	"bytes"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -30,6 +31,9 @@
 // Apply replaces the configuration if the given one is newer. It returns the version of the given one and whether it
 // did.
 func (k *Keeper) Apply(raw []byte) (version uint64, applied bool, err error) {
+	if s := k.state.Load(); s != nil && bytes.Equal(s.raw, raw) {
+		return s.table.Config.Version, false, nil
+	}
 	c, err := k.Decode(raw)
 	if err != nil {
 		return 0, false, err
