--- a/internal/platform/watcher/restore_test.go
+++ b/internal/platform/watcher/restore_test.go
@@ -195,3 +195,46 @@
 	f.eventually("member written after the restore", func() bool { return len(f.tracker.OtherMembers()) == 1 })
 	assert.Assert(t, time.Since(began) < 2*time.Second, "%s", time.Since(began))
 }
+
+// TestAnswersOfEarlierEra guards against answers that the store gave before it was restored and that arrive late, or
+// that come from a copy which is out of use: a target that has left must not be used again because of them, they prove
+// nothing, and the node must not call the store without a pause until it gets others.
+func TestAnswersOfEarlierEra(t *testing.T) {
+	earlier, later := &storer.Store{}, &storer.Store{}
+	later.Restore(time.Now())
+	for store, state := range map[*storer.Store]tracker.State{earlier: tracker.Ready, later: tracker.Draining} {
+		raw, err := json.Marshal(tracker.Member{Node: "a", Service: "x", State: state})
+		assert.NilError(t, err)
+		store.Put(platform.MemberTopic, "a", raw)
+		store.Put(platform.ConfigTopic, platform.ConfigKey, config(1))
+	}
+	var useEarlier atomic.Bool
+	var calls atomic.Int64
+	f := startBehind(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !useEarlier.Load() {
+			later.ServeHTTP(w, r)
+			return
+		}
+		calls.Add(1)
+		earlier.ServeHTTP(w, r)
+	}))
+	f.eventually("a draining", func() bool {
+		others := f.tracker.OtherMembers()
+		return len(others) == 1 && others[0].State == tracker.Draining
+	})
+	f.eventually("configuration confirmed", func() bool { return f.keeper.Age(timekeeper.SinceBoot()) < time.Second })
+	useEarlier.Store(true)
+	// Expired records make the node read the newest ones.
+	later.Put(platform.MemberTopic, "b", []byte("{}"))
+	later.Compact(platform.MemberTopic)
+	from := timekeeper.SinceBoot() + 100*time.Millisecond
+	for end := time.Now().Add(1200 * time.Millisecond); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		assert.Equal(t, f.tracker.OtherMembers()[0].State, tracker.Draining, "the record of an earlier era was applied")
+		if now := timekeeper.SinceBoot(); now > from {
+			assert.Assert(t, f.keeper.Age(now) >= now-from, "an answer of an earlier era proved the configuration")
+		}
+	}
+	assert.Assert(t, calls.Load() > 0 && calls.Load() < 60, "%d calls", calls.Load())
+	useEarlier.Store(false)
+	f.eventually("configuration confirmed again", func() bool { return f.keeper.Age(timekeeper.SinceBoot()) < 300*time.Millisecond })
+}
