--- a/internal/platform/watcher/publish.go
+++ b/internal/platform/watcher/publish.go
@@ -22,11 +22,14 @@
 
 // ownRecord holds this node's member record: the wanted version and the version last read from the store.
 type ownRecord struct {
-	mu      sync.Mutex
-	wanted  tracker.Member
-	stored  tracker.Member
-	wake    chan struct{}
-	written chan struct{}
+	mu     sync.Mutex
+	wanted tracker.Member
+	stored tracker.Member
+	// confirmed is the version whose write the store has acknowledged last, at confirmedAt.
+	confirmed   tracker.Member
+	confirmedAt time.Time
+	wake        chan struct{}
+	written     chan struct{}
 }
 
 // observe sets the version last read from the store.
@@ -61,17 +64,28 @@
 	return o.wake
 }
 
-// pending returns the wanted record and whether it must be written.
+// pending returns the wanted record and whether it must be written. A record that has just been written is not written
+// again because of an earlier one, which may be read later.
 func (o *ownRecord) pending() (tracker.Member, bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.wanted, o.wanted.Node != "" && o.wanted != o.stored
+	justWritten := o.wanted == o.confirmed && time.Since(o.confirmedAt) < readBackTimeout
+	return o.wanted, o.wanted.Node != "" && o.wanted != o.stored && !justWritten
+}
+
+// lost records that the store does not have this node's record.
+func (o *ownRecord) lost() {
+	o.mu.Lock()
+	o.confirmed = tracker.Member{}
+	o.mu.Unlock()
+	o.observe(tracker.Member{})
 }
 
 // confirm records that the store has acknowledged the write of m.
 func (o *ownRecord) confirm(m tracker.Member) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	o.confirmed, o.confirmedAt = m, time.Now()
 	if o.wanted == m && o.written != nil {
 		close(o.written)
 		o.written = nil
--- a/internal/platform/watcher/watcher.go
+++ b/internal/platform/watcher/watcher.go
@@ -273,7 +273,7 @@
 // settled, since until then they may have lost their records. This node's own record is written again at once.
 func (w *Watcher) resetMembers(keys map[string]bool) {
 	if !keys[w.Self] {
-		w.own.observe(tracker.Member{})
+		w.own.lost()
 	}
 	w.stored = keys
 }
