--- a/internal/setting/loader/declaration.go
+++ b/internal/setting/loader/declaration.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"os"
 	"slices"
 
 	"github.com/plantainwheel/plantainwheel/internal/policy/reducer"
@@ -22,9 +21,9 @@
 
 // LoadDeclarations reads declarations from a file, see ParseDeclarations.
 func LoadDeclarations(path string) ([]Declaration, error) {
-	data, err := os.ReadFile(path)
+	data, err := readFile(path)
 	if err != nil {
-		return nil, fmt.Errorf("read declarations: %w", err)
+		return nil, err
 	}
 	return ParseDeclarations(path, data)
 }
--- a/internal/setting/loader/loader.go
+++ b/internal/setting/loader/loader.go
@@ -41,13 +41,22 @@
 
 // Load reads settings from a file. Fields that the file does not set keep their defaults.
 func Load(path string) (Settings, error) {
-	data, err := os.ReadFile(path)
+	data, err := readFile(path)
 	if err != nil {
-		return Settings{}, fmt.Errorf("read settings: %w", err)
+		return Settings{}, err
 	}
 	return Parse(path, data)
 }
 
+// readFile reads a file. Its errors wrap ErrInvalid.
+func readFile(path string) ([]byte, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrInvalid, err)
+	}
+	return data, nil
+}
+
 // Parse reads settings from data. Fields that data does not set keep their defaults. Errors contain fileName.
 func Parse(fileName string, data []byte) (Settings, error) {
 	cfg := Default()
@@ -293,9 +302,9 @@
 
 // DecodeFile reads a file of JSON with comments into v and rejects unknown fields.
 func DecodeFile(path string, v any) error {
-	data, err := os.ReadFile(path)
+	data, err := readFile(path)
 	if err != nil {
-		return fmt.Errorf("read file: %w", err)
+		return err
 	}
 	return decode(path, data, v)
 }
--- a/internal/setting/loader/loader_test.go
+++ b/internal/setting/loader/loader_test.go
@@ -50,3 +50,16 @@
 		assert.NilError(t, err)
 	}
 }
+
+// TestUnreadableFile checks that a file that cannot be read is as invalid as one with wrong contents, so that scripts get
+// the same exit status.
+func TestUnreadableFile(t *testing.T) {
+	for _, path := range []string{"", "no-such-file.json", t.TempDir()} {
+		_, err := loader.Load(path)
+		assert.ErrorIs(t, err, loader.ErrInvalid)
+		_, err = loader.LoadDeclarations(path)
+		assert.ErrorIs(t, err, loader.ErrInvalid)
+		var v any
+		assert.ErrorIs(t, loader.DecodeFile(path, &v), loader.ErrInvalid)
+	}
+}
