Do not overestimate the demand of rare classes of requests

Cause: the demand of a class younger than a second was averaged over the age of the class, which begins with a request. At 195 nodes with many classes each, the first request of a class counts as ten a second; so after each start, and whenever rare classes return, the fleet believes in a multiple of its demand and turns requests away for it. Ruled out: members known late (0.1 to 0.4 s after the start), cold targets (their load is low), the correction. Change: a node averages over its own age, not that of the class. TestDemandAfterStart, which guards the reason of the former rule, stays green.

--- a/internal/policy/allocator/allocator.go
+++ b/internal/policy/allocator/allocator.go
@@ -33,7 +33,9 @@
 
 // Allocator holds the admitted fraction of each class at an entry node. It is not safe for concurrent use.
 type Allocator struct {
-	classes    map[Class]*class
+	classes map[Class]*class
+	// startedAt is the time of the first measurement.
+	startedAt  time.Time
 	measuredAt time.Time
 }
 
@@ -48,9 +50,8 @@
 	fraction float64
 	// credit accumulates fraction with each request; an admitted request consumes 1.
 	credit float64
-	// firstSeen and lastSeen are the times of the first and the latest request of the class.
-	firstSeen time.Time
-	lastSeen  time.Time
+	// lastSeen is the time of the latest request of the class.
+	lastSeen time.Time
 }
 
 // admittedElsewhere returns the fraction of the class that the limits of all services other than the given one
@@ -72,7 +73,7 @@
 	}
 	c := a.classes[key]
 	if c == nil {
-		c = &class{Class: key, fraction: 1, limits: map[string]float64{}, firstSeen: now}
+		c = &class{Class: key, fraction: 1, limits: map[string]float64{}}
 		a.classes[key] = c
 	}
 	c.offered++
@@ -155,10 +156,14 @@
 	elapsed := now.Sub(a.measuredAt)
 	if a.measuredAt.IsZero() || elapsed <= 0 {
 		a.measuredAt = now
+		if a.startedAt.IsZero() {
+			a.startedAt = now
+		}
 		return
 	}
+	window := min(demandWindow, max(now.Sub(a.startedAt), elapsed))
 	for key, c := range a.classes {
-		c.measure(now, elapsed)
+		c.measure(elapsed, window)
 		if now.Sub(c.lastSeen) > idleTimeout {
 			delete(a.classes, key)
 		}
@@ -166,11 +171,10 @@
 	a.measuredAt = now
 }
 
-// measure updates the moving average of the rate with the requests of the elapsed time. A class younger than
-// demandWindow is averaged over its age; otherwise its demand would be underestimated for that long after a
-// start of the node.
-func (c *class) measure(now time.Time, elapsed time.Duration) {
-	window := min(demandWindow, max(now.Sub(c.firstSeen), elapsed))
+// measure updates the moving average of the rate over the window with the requests of the elapsed time. A node younger
+// than demandWindow averages over its own age; otherwise its demand would be underestimated for that long. The age of the
+// class does not count: it begins with a request, so that the rate of rare classes would be overestimated.
+func (c *class) measure(elapsed, window time.Duration) {
 	weight := min(1, elapsed.Seconds()/window.Seconds())
 	c.rate += weight * (float64(c.offered)/elapsed.Seconds() - c.rate)
 	c.offered = 0
--- a/internal/policy/allocator/allocator_test.go
+++ b/internal/policy/allocator/allocator_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -210,3 +211,37 @@
 	want := 0.1 * (1 - math.Pow(0.8, 12)) / (1 - 0.8)
 	assert.Assert(t, math.Abs(total-want) < 1e-3, "%.4f for %.4f", total, want)
 }
+
+// TestDemandOfLargeFleet guards against a demand that is overestimated where each node gets few requests of many classes:
+// a request that is the first of its class must not count as the rate of a whole second. The nodes of a large fleet start
+// together, as after a loss of all of them, and the callers return at once or a while later.
+func TestDemandOfLargeFleet(t *testing.T) {
+	const nodes, classes, perSecond, slotsPerRequest = 195, 20, 600.0, 0.24
+	costs := allocator.NewTotalCosts(graph())
+	for _, pause := range []time.Duration{0, 300 * time.Millisecond, 2 * time.Second, 20 * time.Second} {
+		rng := rand.New(rand.NewPCG(20261204, uint64(pause)))
+		fleet := make([]allocator.Allocator, nodes)
+		for step := range 40 {
+			now := t0.Add(time.Duration(step) * 100 * time.Millisecond)
+			if step > 0 {
+				now = now.Add(pause)
+			}
+			demand := 0.0
+			for i := range fleet {
+				a := &fleet[i]
+				if step == 1 {
+					for at := t0; at.Before(now); at = at.Add(100 * time.Millisecond) {
+						a.UpdateDemand(at, costs)
+					}
+				}
+				demand += a.UpdateDemand(now, costs)["dispatch"]
+				for p := perSecond / nodes / 10; rng.Float64() < p; p-- {
+					a.Admit(now, allocator.Class{Route: "catalogue", Rank: rng.IntN(classes)})
+				}
+			}
+			share := demand / (perSecond * slotsPerRequest)
+			assert.Check(t, step < 2 || share < 1.5, "pause %s, step %d: %.2f of the demand", pause, step, share)
+			assert.Check(t, step < 12 || share > 0.6, "pause %s, step %d: %.2f of the demand", pause, step, share)
+		}
+	}
+}
