--- a/internal/fleet/tracker/tracker_test.go
+++ b/internal/fleet/tracker/tracker_test.go
@@ -1,6 +1,8 @@
 package tracker_test
 
 import (
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -179,3 +181,27 @@
 	assert.Equal(t, len(list), 3, "the next lifetime under the same ID is no candidate")
 	assert.Equal(t, tr.Limit(&next), 0.0)
 }
+
+// TestCandidatesAfterChange checks that candidates follow the members: a node whose target belongs to another service now,
+// one that has joined and one that was removed.
+func TestCandidatesAfterChange(t *testing.T) {
+	tr := newTracker()
+	names := func(service string) string {
+		var list []string
+		for _, c := range tr.Candidates(nil, time.Now(), service, "r", nil) {
+			list = append(list, c.Node)
+		}
+		slices.Sort(list)
+		return strings.Join(list, " ")
+	}
+	assert.Equal(t, names("x"), "far near own")
+	assert.Equal(t, len(tr.OtherMembers()), 2)
+	tr.SetMember(tracker.Member{Node: "near", Service: "y", State: tracker.Ready})
+	tr.SetMember(tracker.Member{Node: "new", Service: "x", State: tracker.Ready})
+	assert.Equal(t, names("x"), "far new own")
+	assert.Equal(t, names("y"), "near")
+	assert.Equal(t, len(tr.OtherMembers()), 3)
+	tr.RemoveMember("far")
+	assert.Equal(t, names("x"), "new own")
+	assert.Equal(t, len(tr.OtherMembers()), 2)
+}
--- a/internal/platform/watcher/watcher_test.go
+++ b/internal/platform/watcher/watcher_test.go
@@ -249,3 +249,64 @@
 	made := reads.Load() - before
 	assert.Assert(t, made > 0 && made <= 6, "%d reads for %d records", made, members)
 }
+
+// TestOwnRecordWrittenOnce guards against a second write of the own record because an earlier one is read after the write.
+func TestOwnRecordWrittenOnce(t *testing.T) {
+	store := &storer.Store{}
+	raw, err := json.Marshal(tracker.Member{Node: "own", Target: "i-1", State: tracker.Ready})
+	assert.NilError(t, err)
+	store.Put(platform.MemberTopic, "own", raw)
+	var writes atomic.Int64
+	f := startBehind(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ofMembers := strings.Contains(r.URL.String(), platform.MemberTopic)
+		switch {
+		case ofMembers && r.Method == http.MethodPost:
+			writes.Add(1)
+			store.ServeHTTP(w, r)
+		case ofMembers:
+			// The answer is on its way while the node writes.
+			answer := httptest.NewRecorder()
+			store.ServeHTTP(answer, r)
+			time.Sleep(200 * time.Millisecond)
+			copyAnswer(w, answer)
+		default:
+			store.ServeHTTP(w, r)
+		}
+	}))
+	f.watcher.Publish(tracker.Member{Node: "own", Target: "i-2", State: tracker.Ready})
+	time.Sleep(1500 * time.Millisecond)
+	assert.Equal(t, writes.Load(), int64(1))
+	assert.Assert(t, strings.Contains(string(store.Newest(platform.MemberTopic, "own")), "i-2"))
+}
+
+func copyAnswer(w http.ResponseWriter, answer *httptest.ResponseRecorder) {
+	for k, v := range answer.Header() {
+		w.Header()[k] = v
+	}
+	w.WriteHeader(answer.Code)
+	_, _ = w.Write(answer.Body.Bytes())
+}
+
+// TestPartialReadProvesNothing guards against taking the configuration for the newest after a read that did not reach the
+// end of the topic.
+func TestPartialReadProvesNothing(t *testing.T) {
+	store := &storer.Store{}
+	store.Put(platform.ConfigTopic, platform.ConfigKey, config(1))
+	var partial atomic.Bool
+	f := startBehind(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		answer := httptest.NewRecorder()
+		store.ServeHTTP(answer, r)
+		if body := answer.Body.Bytes(); partial.Load() && r.Method == http.MethodGet && len(body) >= 8 && strings.Contains(r.URL.Path, "log-read") {
+			// The first eight bytes hold the end of the topic.
+			body[7]++
+		}
+		copyAnswer(w, answer)
+	}))
+	age := func() time.Duration { return f.keeper.Age(timekeeper.SinceBoot()) }
+	f.eventually("configuration confirmed", func() bool { return age() < 200*time.Millisecond })
+	partial.Store(true)
+	time.Sleep(800 * time.Millisecond)
+	assert.Assert(t, age() > 600*time.Millisecond, "%s", age())
+	partial.Store(false)
+	f.eventually("configuration confirmed again", func() bool { return age() < 200*time.Millisecond })
+}
--- a/internal/policy/windowlimiter/windowlimiter_test.go
+++ b/internal/policy/windowlimiter/windowlimiter_test.go
@@ -336,3 +336,19 @@
 		}
 	}
 }
+
+// TestReportsExpire guards against a node that is gone for good but holds on to its part of an account's rate.
+func TestReportsExpire(t *testing.T) {
+	n := windowlimiter.Limiter{Window: window}
+	n.SetNodes(2)
+	now := time.Hour
+	n.Receive(now, windowlimiter.Process{Node: "gone", Started: 1}, "shop", windowlimiter.Usage{Admitted: 120 * 6, Demand: 900})
+	ok, _ := n.Admit(now, "shop", shop)
+	assert.Assert(t, !ok, "the whole window is used")
+	now += 2*window + time.Second
+	for i := range 50 {
+		ok, _ := n.Admit(now+time.Duration(i)*20*time.Millisecond, "shop", shop)
+		assert.Assert(t, ok, "request %d", i)
+		n.Count(now+time.Duration(i)*20*time.Millisecond, "shop")
+	}
+}
