--- a/internal/platform/watcher/watcher_test.go
+++ b/internal/platform/watcher/watcher_test.go
@@ -1,6 +1,7 @@
 package watcher_test
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -261,7 +262,11 @@
 		ofMembers := strings.Contains(r.URL.String(), platform.MemberTopic)
 		switch {
 		case ofMembers && r.Method == http.MethodPost:
-			writes.Add(1)
+			raw, _ := io.ReadAll(r.Body)
+			if strings.Contains(string(raw), "i-2") {
+				writes.Add(1)
+			}
+			r.Body = io.NopCloser(bytes.NewReader(raw))
 			store.ServeHTTP(w, r)
 		case ofMembers:
 			// The answer is on its way while the node writes.
