--- a/internal/platform/watcher/neighbours_test.go
+++ b/internal/platform/watcher/neighbours_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -353,3 +354,39 @@
 		return n.age() < timekeeper.SinceBoot()-restoredAt-time.Second
 	})
 }
+
+// TestRestartBesideOldNeighbours guards against a process that starts and takes over what its neighbours knew before they
+// were cut off from the store: a withdrawn key, or a target that has left.
+func TestRestartBesideOldNeighbours(t *testing.T) {
+	t.Parallel()
+	d := startDataCentre(t, 5, true)
+	d.confirmed()
+	others := d.ranked()[:4]
+	for _, n := range others {
+		n.fail(refusing, healthy)
+	}
+	d.put(2)
+	raw, err := json.Marshal(tracker.Member{Node: "left", DataCentre: "dc", Service: "x", Target: "i", State: tracker.Gone})
+	assert.NilError(t, err)
+	d.store.Put(platform.MemberTopic, "left", raw)
+	time.Sleep(2 * time.Second)
+	for _, n := range d.nodes {
+		if !slices.Contains(others, n) {
+			n.cancel()
+			n.done.Wait()
+		}
+	}
+	restarted := d.add("restarted")
+	restarted.run()
+	t.Cleanup(func() { restarted.cancel(); restarted.done.Wait() })
+	for end := time.Now().Add(4 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if restarted.age() < 4500*time.Millisecond {
+			assert.Equal(t, restarted.version(), uint64(2), "an older configuration counts as the newest")
+		}
+		if m, ok := restarted.tracker.Member("left"); ok {
+			assert.Equal(t, m.State, tracker.Gone)
+		}
+	}
+	assert.Equal(t, restarted.version(), uint64(2))
+	assert.Assert(t, restarted.age() < 3*time.Second, "%s", restarted.age())
+}
