Reject reports with numbers that make no sense

Operators' report: one malformed message takes a process down. Here a report with a load or a correction that is no number did worse: the mean over the fleet, and with it each node's learned correction, became no number for good, and no request was shed any more. Ruled out by fuzzing the decoder: a crash or an allocation without bound. Change: reports, usages and stored costs with numbers that are not finite, negative or above 1e9 are ignored.

--- a/internal/caller/gateway/limits.go
+++ b/internal/caller/gateway/limits.go
@@ -49,6 +49,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, u := range usages {
+		if !u.Valid() {
+			continue
+		}
 		l.limiter.Receive(now, from, u.Account, windowlimiter.Usage{Admitted: float64(u.Admitted), Demand: float64(u.Demand)})
 	}
 }
--- a/internal/fleet/tracker/report.go
+++ b/internal/fleet/tracker/report.go
@@ -45,6 +45,49 @@
 	Demand float32
 }
 
+// Valid reports whether the numbers make sense. Sums with others would be meaningless otherwise.
+func (u *AccountUsage) Valid() bool { return areSound(u.Admitted, u.Demand) }
+
+// maxCount bounds the numbers in reports.
+const maxCount = 1e9
+
+// areSound reports whether all numbers are finite, not negative and not absurdly large.
+func areSound(numbers ...float32) bool {
+	for _, n := range numbers {
+		if !(n >= 0 && n <= maxCount) {
+			return false
+		}
+	}
+	return true
+}
+
+// isValid reports whether the numbers of the report make sense.
+func (r *Report) isValid() bool {
+	if !areSound(float32(r.Running), float32(r.Waiting), float32(r.Limit), r.Load, r.Correction, r.FailureRate) {
+		return false
+	}
+	for _, slots := range r.Demand {
+		if !areSound(slots) {
+			return false
+		}
+	}
+	for i := range r.RouteCosts {
+		if !r.RouteCosts[i].isValid() {
+			return false
+		}
+	}
+	return true
+}
+
+func (c *RouteCosts) isValid() bool {
+	for _, n := range c.Calls {
+		if !areSound(n) {
+			return false
+		}
+	}
+	return areSound(c.HoldMs)
+}
+
 // UsageReport reports the account usages that have changed since the node's latest report. It is encoded as a list of its
 // fields in this order.
 type UsageReport struct {
--- a/internal/fleet/tracker/tracker.go
+++ b/internal/fleet/tracker/tracker.go
@@ -144,8 +144,11 @@
 }
 
 // ApplyReport stores a report. It returns false if the node is unknown or has already sent a newer report or the
-// same one.
+// same one, or if the report is invalid.
 func (t *Tracker) ApplyReport(now time.Time, r *Report) bool {
+	if !r.isValid() {
+		return false
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	p, ok := t.peers[r.Node]
@@ -406,6 +409,11 @@
 	if t.restored == nil {
 		t.restored, t.restoredOf = map[string]NodeCosts{}, map[string]NodeCosts{}
 	}
+	for i := range c.RouteCosts {
+		if !c.RouteCosts[i].isValid() {
+			return
+		}
+	}
 	t.restored[c.Node] = c
 	t.restoredOf[c.Service] = c
 }
