--- a/internal/platform/watcher/neighbours_test.go
+++ b/internal/platform/watcher/neighbours_test.go
@@ -46,7 +46,7 @@
 	// store and control serve the node's calls of the store, and the questions of other nodes.
 	store, control           *httptest.Server
 	storeFault, controlFault atomic.Int32
-	calls                    atomic.Int64
+	calls, questions         atomic.Int64
 	cancel                   context.CancelFunc
 	done                     sync.WaitGroup
 }
@@ -98,7 +98,11 @@
 	var members []tracker.Member
 	for i := range n {
 		node := d.add(fmt.Sprint("vm-", i))
-		node.control = httptest.NewServer(faulty(&node.controlFault, (&distributor.Server{Copy: node.watcher.Copy, Topics: watcher.Topics}).Handler()))
+		answers := faulty(&node.controlFault, (&distributor.Server{Copy: node.watcher.Copy, Topics: watcher.Topics}).Handler())
+		node.control = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			node.questions.Add(1)
+			answers.ServeHTTP(w, r)
+		}))
 		t.Cleanup(func() { node.control.CloseClientConnections(); node.control.Close() })
 		members = append(members, tracker.Member{
 			Node: node.name, DataCentre: "dc", Service: "x", Target: "i", State: tracker.Ready, Slots: 1,
@@ -390,3 +394,21 @@
 	assert.Equal(t, restarted.version(), uint64(2))
 	assert.Assert(t, restarted.age() < 3*time.Second, "%s", restarted.age())
 }
+
+// TestStoppingReaderIsNotAsked checks that a node that is about to stop is left alone by the others, so that they notice
+// nothing when it is gone.
+func TestStoppingReaderIsNotAsked(t *testing.T) {
+	t.Parallel()
+	d := startDataCentre(t, 6, true)
+	d.confirmed()
+	first := d.ranked()[0]
+	assert.Assert(t, first.questions.Load() > 0)
+	m, ok := first.tracker.Member(first.name)
+	assert.Assert(t, ok)
+	m.State = tracker.Stopping
+	<-first.watcher.Publish(m)
+	time.Sleep(2500 * time.Millisecond)
+	before := first.questions.Load()
+	time.Sleep(time.Second)
+	assert.Equal(t, first.questions.Load(), before)
+}
