--- a/internal/fleet/tracker/report_gen.go
+++ b/internal/fleet/tracker/report_gen.go
@@ -232,7 +232,7 @@
 			return
 		}
 		if z.RouteCosts != nil && cap(z.RouteCosts) >= int(zb0003) {
-			z.RouteCosts = (z.RouteCosts)[:zb0003]
+			z.RouteCosts = z.RouteCosts[:zb0003]
 		} else {
 			z.RouteCosts = make([]RouteCosts, zb0003)
 		}
@@ -259,7 +259,7 @@
 			return
 		}
 		if z.AccountUsages != nil && cap(z.AccountUsages) >= int(zb0004) {
-			z.AccountUsages = (z.AccountUsages)[:zb0004]
+			z.AccountUsages = z.AccountUsages[:zb0004]
 		} else {
 			z.AccountUsages = make([]AccountUsage, zb0004)
 		}
@@ -475,7 +475,7 @@
 			return
 		}
 		if z.AccountUsages != nil && cap(z.AccountUsages) >= int(zb0002) {
-			z.AccountUsages = (z.AccountUsages)[:zb0002]
+			z.AccountUsages = z.AccountUsages[:zb0002]
 		} else {
 			z.AccountUsages = make([]AccountUsage, zb0002)
 		}
--- a/internal/peer/reporter/bench_test.go
+++ b/internal/peer/reporter/bench_test.go
@@ -24,7 +24,8 @@
 		Node: node, Started: 1, Sequence: sequence, Target: "i-12345678", Running: 20, Waiting: 3, Limit: 23, Up: true, Load: 0.9, Correction: 1,
 		Demand: map[string]float32{"service-0": 1, "service-1": 2, "service-2": 3, "service-3": 4},
 		RouteCosts: []tracker.RouteCosts{
-			{Route: "route-1", HoldMs: 200, Calls: map[string]float32{"route-5": 2}}, {Route: "route-2", HoldMs: 300, Calls: map[string]float32{"route-5": 1}},
+			{Route: "route-1", HoldMs: 200, Calls: map[string]float32{"route-5": 2}},
+			{Route: "route-2", HoldMs: 300, Calls: map[string]float32{"route-5": 1}},
 			{Route: "route-5", HoldMs: 15, Calls: map[string]float32{"route-6": 1}},
 		},
 	}
