--- a/internal/fleet/tracker/tracker.go
+++ b/internal/fleet/tracker/tracker.go
@@ -3,14 +3,11 @@
 
 import (
 	"cmp"
-	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
 
-	"github.com/plantainwheel/plantainwheel/internal/policy/allocator"
-	"github.com/plantainwheel/plantainwheel/internal/policy/elector"
 	"github.com/plantainwheel/plantainwheel/internal/policy/placer"
 )
 
@@ -166,30 +163,6 @@
 	return true
 }
 
-// setDemand stores the demand by the position of the service, because it is summed up far more often than received.
-func (t *Tracker) setDemand(p *peer, demand map[string]float32) {
-	p.demand = p.demand[:0]
-	for service, slots := range demand {
-		if _, known := t.services[service]; !known && len(t.serviceNames) >= maxServices {
-			continue
-		}
-		p.demand = append(p.demand, serviceDemand{t.serviceIndex(service), float64(slots)})
-	}
-}
-
-func (t *Tracker) serviceIndex(service string) int {
-	i, ok := t.services[service]
-	if !ok {
-		if t.services == nil {
-			t.services = map[string]int{}
-		}
-		i = len(t.serviceNames)
-		t.services[service] = i
-		t.serviceNames = append(t.serviceNames, service)
-	}
-	return i
-}
-
 // isNewer reports whether a report is newer than an old one of the same node.
 func isNewer(started int64, sequence uint64, oldStarted int64, oldSequence uint64) bool {
 	return cmp.Or(cmp.Compare(started, oldStarted), cmp.Compare(sequence, oldSequence)) > 0
@@ -332,183 +305,6 @@
 	return p.Node != t.Self && now.Sub(p.lastSeen) > t.ReportTimeout
 }
 
-// Service aggregates all targets of a service.
-type Service struct {
-	Slots int
-	// Load is the mean number of running and waiting requests per slot, Correction the mean correction factor
-	// of the nodes. Both are weighted by the nodes' limits.
-	Load       float64
-	Correction float64
-	// Demand is the demand of the requests that enter at other nodes, in slots.
-	Demand float64
-}
-
-// Services returns the aggregate of each service.
-func (t *Tracker) Services(now time.Time) map[string]Service {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	sums := make([]Service, len(t.serviceNames))
-	known := make([]bool, len(t.serviceNames))
-	for _, p := range t.peers {
-		if p.report.Sequence == 0 || t.reportOverdue(now, p) {
-			continue
-		}
-		if p.Node != t.Self {
-			for _, d := range p.demand {
-				sums[d.service].Demand += d.slots
-				known[d.service] = true
-			}
-		}
-		if p.State != Ready || !p.report.Up || p.report.Limit == 0 {
-			continue
-		}
-		i := t.serviceIndex(p.Service)
-		for i >= len(sums) {
-			sums, known = append(sums, Service{}), append(known, false)
-		}
-		sums[i].add(&p.report)
-		known[i] = true
-	}
-	services := map[string]Service{}
-	for i, s := range sums {
-		if known[i] {
-			services[t.serviceNames[i]] = s.mean()
-		}
-	}
-	return services
-}
-
-// add adds a target to the sums.
-func (s *Service) add(r *Report) {
-	s.Slots += r.Limit
-	s.Load += float64(r.Load) * float64(r.Limit)
-	s.Correction += float64(r.Correction) * float64(r.Limit)
-}
-
-// mean returns the aggregate of the targets that were added.
-func (s Service) mean() Service {
-	if s.Slots > 0 {
-		s.Load /= float64(s.Slots)
-		s.Correction /= float64(s.Slots)
-	}
-	return s
-}
-
-// NodeCosts is the stored record of the costs that a node has learned for its target.
-type NodeCosts struct {
-	Node       string       `json:"node"`
-	Service    string       `json:"service"`
-	RouteCosts []RouteCosts `json:"rows"`
-}
-
-// Restore restores the costs that a node learned before this process started. They apply until the node reports
-// new costs, and only while its target belongs to the same service.
-func (t *Tracker) Restore(c NodeCosts) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.restored == nil {
-		t.restored, t.restoredOf = map[string]NodeCosts{}, map[string]NodeCosts{}
-	}
-	for i := range c.RouteCosts {
-		if !c.RouteCosts[i].isValid() {
-			return
-		}
-	}
-	t.restored[c.Node] = c
-	t.restoredOf[c.Service] = c
-}
-
-// maxCostWriters is the number of nodes of a service that store their costs. If all nodes are lost, these are lost with
-// them only if the store loses their records.
-const maxCostWriters = 4
-
-// WritesCosts reports whether this node stores the costs of its target for the service.
-func (t *Tracker) WritesCosts(now time.Time, service string) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	names := []string{t.Self}
-	for _, p := range t.peersOf(service) {
-		if p.Node != t.Self && p.State == Ready && !t.reportOverdue(now, p) {
-			names = append(names, p.Node)
-		}
-	}
-	ranked := elector.Rank("costs", names)
-	return slices.Contains(ranked[:min(len(ranked), maxCostWriters)], t.Self)
-}
-
-// routeCosts returns the costs that the node has reported, or its restored costs if it has reported none.
-func (t *Tracker) routeCosts(p *peer) []RouteCosts {
-	if len(p.report.RouteCosts) > 0 {
-		return p.report.RouteCosts
-	}
-	if c := t.restored[p.Node]; c.Service == p.Service {
-		return c.RouteCosts
-	}
-	return nil
-}
-
-// expectedCosts returns the costs of the node or, since only some nodes store theirs, those that another node of its
-// service had stored.
-func (t *Tracker) expectedCosts(p *peer) []RouteCosts {
-	if costs := t.routeCosts(p); len(costs) > 0 {
-		return costs
-	}
-	return t.restoredOf[p.Service].RouteCosts
-}
-
-// RouteCosts returns the costs of a request of each route, averaged over the targets. The costs of lost targets
-// are used only for routes for which no live target has costs.
-func (t *Tracker) RouteCosts(now time.Time) map[string]allocator.RouteCosts {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	live, lost := costSums{}, costSums{}
-	for _, p := range t.peers {
-		if p.State == Gone || t.reportOverdue(now, p) {
-			lost.add(p.Service, t.routeCosts(p))
-			continue
-		}
-		live.add(p.Service, t.routeCosts(p))
-	}
-	costs := lost.means()
-	maps.Copy(costs, live.means())
-	return costs
-}
-
-// costSums sums the costs of several targets by route.
-type costSums map[string]*costSum
-
-type costSum struct {
-	allocator.RouteCosts
-	count float64
-}
-
-func (s costSums) add(service string, costs []RouteCosts) {
-	for _, r := range costs {
-		sum := s[r.Route]
-		if sum == nil {
-			sum = &costSum{RouteCosts: allocator.RouteCosts{Service: service, Calls: map[string]float64{}}}
-			s[r.Route] = sum
-		}
-		sum.HoldSeconds += float64(r.HoldMs) / 1000
-		for k, v := range r.Calls {
-			sum.Calls[k] += float64(v)
-		}
-		sum.count++
-	}
-}
-
-func (s costSums) means() map[string]allocator.RouteCosts {
-	costs := map[string]allocator.RouteCosts{}
-	for name, sum := range s {
-		sum.HoldSeconds /= sum.count
-		for k := range sum.Calls {
-			sum.Calls[k] /= sum.count
-		}
-		costs[name] = sum.RouteCosts
-	}
-	return costs
-}
-
 // OtherMembers returns all members except this node, ordered by name. The caller must not change the list.
 func (t *Tracker) OtherMembers() []Member {
 	t.mu.Lock()
