Reserve the part of silent nodes in the rate of a client account

Cause: what a node did not know counted as nothing. Reports expired after two windows, and the number of nodes that share a rate was the number that had sent reports recently, so that an isolated node had the whole rate, and each side of a cut had it as well. In the first seconds of a cut the last reports stood for what the others did meanwhile. Class: missing information taken for the most favourable value.

Change: all members share a limit, whether or not they are heard; a side that hears k of n nodes uses at most k/n of it, less if silent nodes are known to have used more. From 0.4 s without a report on, a growing part is counted as used. A silent node counts as heard only from its next report of all accounts on. Nodes report at least once a second, so that silence is noticed after two. A complete report also ends what older ones said of accounts that it does not name. Members that stop and are silent, and those silent for two minutes, no longer share. The number of silent members is a metric and, when it begins or ends, a log line. LiveCount and its check are replaced by Sharing and TestSharing, since a count of live nodes is what was wrong.

--- a/internal/caller/gateway/limits.go
+++ b/internal/caller/gateway/limits.go
@@ -42,25 +42,25 @@
 	l.limiter.Count(timekeeper.SinceBoot(), name)
 }
 
-// Receive records the account usages that another node reported.
-func (l *RateLimits) Receive(node string, started int64, usages []tracker.AccountUsage) {
-	from := windowlimiter.Process{Node: node, Started: started}
-	now := timekeeper.SinceBoot()
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for _, u := range usages {
-		if !u.Valid() {
-			continue
+// Receive records the account usages that another node reported. complete tells whether they are those of all accounts.
+func (l *RateLimits) Receive(r *tracker.UsageReport, complete bool) {
+	from := windowlimiter.Process{Node: r.Node, Started: r.Started}
+	usages := make(map[string]windowlimiter.Usage, len(r.AccountUsages))
+	for _, u := range r.AccountUsages {
+		if u.Valid() {
+			usages[u.Account] = windowlimiter.Usage{Admitted: float64(u.Admitted), Demand: float64(u.Demand)}
 		}
-		l.limiter.Receive(now, from, u.Account, windowlimiter.Usage{Admitted: float64(u.Admitted), Demand: float64(u.Demand)})
 	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.limiter.Receive(timekeeper.SinceBoot(), from, usages, complete)
 }
 
-// SetNodes sets the number of nodes that share the limits.
-func (l *RateLimits) SetNodes(nodes int) {
+// SetMembers sets the names of the other nodes that share the limits, and returns how many of them are silent.
+func (l *RateLimits) SetMembers(others []string) (silent int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.limiter.SetNodes(nodes)
+	return l.limiter.SetMembers(timekeeper.SinceBoot(), others)
 }
 
 // AccountUsages returns the account usages that this node reports to the others.
--- a/internal/fleet/tracker/bench_test.go
+++ b/internal/fleet/tracker/bench_test.go
@@ -42,7 +42,7 @@
 		now := time.Now()
 		allocator.NewTotalCosts(t.RouteCosts(now))
 		t.Services(now)
-		t.LiveCount(now)
+		t.Sharing(now)
 	}
 }
 
--- a/internal/fleet/tracker/tracker.go
+++ b/internal/fleet/tracker/tracker.go
@@ -53,6 +53,8 @@
 	refusalBackoff = 100 * time.Millisecond
 	// maxServices bounds the services for which other nodes may report a demand.
 	maxServices = 10_000
+	// forgetTime is the time without reports after which a member no longer shares the rate limits.
+	forgetTime = 2 * time.Minute
 	// maxLoadAge is the age above which a reported load is ignored.
 	maxLoadAge = 3 * time.Second
 )
@@ -336,15 +338,17 @@
 	return responsive
 }
 
-// LiveCount returns the number of members that sent reports recently, including this node.
-func (t *Tracker) LiveCount(now time.Time) int {
+// Sharing returns the names of the other members that share the rate limits of the client accounts. A silent member may
+// be cut off and go on admitting requests, so it is included for long, unless it has announced that it stops.
+func (t *Tracker) Sharing(now time.Time) []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	n := 1
+	names := make([]string, 0, len(t.peers))
 	for _, p := range t.peers {
-		if p.Node != t.Self && !t.reportOverdue(now, p) {
-			n++
+		gone := now.Sub(p.lastSeen) > forgetTime || (p.State == Stopping && t.reportOverdue(now, p))
+		if p.Node != t.Self && !gone {
+			names = append(names, p.Node)
 		}
 	}
-	return n
+	return names
 }
--- a/internal/fleet/tracker/tracker_test.go
+++ b/internal/fleet/tracker/tracker_test.go
@@ -93,7 +93,25 @@
 	later := now.Add(4 * time.Second)
 	assert.Assert(t, candidate(t, tr, later, "near").Suspect)
 	assert.Assert(t, !candidate(t, tr, later, "own").Suspect)
-	assert.Equal(t, tr.LiveCount(later), 1)
+}
+
+// TestSharing checks that silent members share the rate limits until they are forgotten, and those that stop until they
+// are silent.
+func TestSharing(t *testing.T) {
+	tr := newTracker()
+	now := time.Now()
+	sharing := func(after time.Duration) []string {
+		names := tr.Sharing(now.Add(after))
+		slices.Sort(names)
+		return names
+	}
+	assert.DeepEqual(t, sharing(4*time.Second), []string{"far", "near"})
+	assert.DeepEqual(t, sharing(3*time.Minute), []string{})
+	m, _ := tr.Member("far")
+	m.State = tracker.Stopping
+	tr.SetMember(m)
+	assert.DeepEqual(t, sharing(time.Second), []string{"far", "near"})
+	assert.DeepEqual(t, sharing(4*time.Second), []string{"near"})
 }
 
 // TestServices checks that only targets that can run requests contribute slots, while the demand of all nodes
--- a/internal/node/attendant/attendant.go
+++ b/internal/node/attendant/attendant.go
@@ -61,6 +61,8 @@
 	servedLinesPerSecond  = 2
 	// targetLinesPerSecond limits the log lines on what the target says in its answers, which may change with each.
 	targetLinesPerSecond = 2
+	// silenceLogInterval is the minimum time between two log lines on members that are not heard.
+	silenceLogInterval = time.Second
 	// retryBudgetShare is the share of the fleet's retry budget that nodes use. The rest is left unused because a
 	// retry also counts as a retry at the services that its child calls reach.
 	retryBudgetShare = 0.5
@@ -96,6 +98,12 @@
 	// targetLogLimiter limits the log lines on what the target says in its answers.
 	targetLogLimiter loglimiter.Limiter
 
+	// silentMembers is the number of members that share the rate limits and are not heard. Only shareLimits uses it and the
+	// fields below.
+	silentMembers   *metrics.Gauge
+	someSilent      bool
+	silenceLoggedAt time.Time
+
 	// totalCosts holds the costs of requests at the time costsAt. Only plan uses them.
 	totalCosts allocator.TotalCosts
 	costsAt    time.Time
@@ -117,6 +125,7 @@
 	cfg := &a.Settings
 	a.Metrics = metrics.NewSet()
 	a.admittedShare = 1
+	a.silentMembers = a.Metrics.NewGauge("rate_limit_silent_members", nil)
 	a.targetLogLimiter.PerSecond = targetLinesPerSecond
 	a.keeper = &keeper.Keeper{Decode: platform.DecodeConfig}
 	a.tracker = &tracker.Tracker{Self: cfg.Node, DataCentre: cfg.DataCentre, ReportTimeout: nodeSilenceTimeout}
--- a/internal/node/attendant/report.go
+++ b/internal/node/attendant/report.go
@@ -18,7 +18,7 @@
 	}
 	costs := a.totalCosts
 	services := a.tracker.Services(now)
-	a.gateway.RateLimits.SetNodes(a.liveNodes(now))
+	a.shareLimits(now)
 	demand := a.gateway.Shedder.UpdateDemand(costs)
 	shares := map[string]float64{}
 	for name, s := range services {
@@ -162,13 +162,20 @@
 	a.executor.RestoreCosts(costs)
 }
 
-// liveNodes returns the number of nodes that share the rate limits of the client accounts, or 0 before the members
-// are known.
-func (a *Attendant) liveNodes(now time.Time) int {
+// shareLimits tells the rate limits which nodes share them, once the members are known. It logs when all members are heard
+// again or some no longer are, since an account then gets another part of its rate here.
+func (a *Attendant) shareLimits(now time.Time) {
 	if !a.watcher.MembersKnown() {
-		return 0
+		return
+	}
+	others := a.tracker.Sharing(now)
+	silent := a.gateway.RateLimits.SetMembers(others)
+	a.silentMembers.Set(float64(silent))
+	if (silent > 0) == a.someSilent || now.Sub(a.silenceLoggedAt) < silenceLogInterval {
+		return
 	}
-	return a.tracker.LiveCount(now)
+	a.someSilent, a.silenceLoggedAt = silent > 0, now
+	a.Log.Info().Int("silent", silent).Int("members", len(others)+1).Msg("members not heard changed")
 }
 
 // memberRecord returns the member record of this node.
--- a/internal/peer/reporter/bench_test.go
+++ b/internal/peer/reporter/bench_test.go
@@ -14,7 +14,7 @@
 	for i := range 195 {
 		t.SetMember(tracker.Member{Node: fmt.Sprint("vm-", i), DataCentre: fmt.Sprint("dc-", i%5), Service: fmt.Sprint("service-", i%4), State: tracker.Ready})
 	}
-	r := &Reporter{Tracker: t, OnUsages: func(string, int64, []tracker.AccountUsage) {}}
+	r := &Reporter{Tracker: t, OnUsages: func(*tracker.UsageReport, bool) {}}
 	return r
 }
 
--- a/internal/peer/reporter/relay_test.go
+++ b/internal/peer/reporter/relay_test.go
@@ -31,7 +31,7 @@
 	tr.SetMember(tracker.Member{Node: "new", DataCentre: "here", ReportAddress: newAddress, TakesBatches: true})
 	tr.SetMember(tracker.Member{Node: "a", DataCentre: "there"})
 	tr.SetMember(tracker.Member{Node: "b", DataCentre: "there"})
-	f.relay = &Reporter{Listen: "127.0.0.1:0", Tracker: tr, OnUsages: func(string, int64, []tracker.AccountUsage) {}}
+	f.relay = &Reporter{Listen: "127.0.0.1:0", Tracker: tr, OnUsages: func(*tracker.UsageReport, bool) {}}
 	assert.NilError(t, f.relay.Open())
 	t.Cleanup(f.relay.Close)
 	return f
--- a/internal/peer/reporter/reporter.go
+++ b/internal/peer/reporter/reporter.go
@@ -6,7 +6,8 @@
 // square of the fleet otherwise. The relay is chosen at random among them for each report, so that a node that is down
 // loses only some of the reports to its data centre.
 //
-// The use of rate limits changes fast and is small, so it is also sent on its own between two reports.
+// The use of rate limits changes fast and is small, so it is also sent on its own between two reports. A node sends
+// something at least once a period, so that the others know that they hear it.
 package reporter
 
 import (
@@ -71,8 +72,8 @@
 	// BuildUsages returns the account usages that the other nodes need soon, if any.
 	BuildUsages func() []tracker.AccountUsage
 	// OnUsages is called with the account usages of each received report that is newer than the previous one from the
-	// same node, and with Report.Started. Reports from unknown nodes are ignored.
-	OnUsages func(node string, started int64, usages []tracker.AccountUsage)
+	// same node. complete tells whether they are those of all accounts. Reports from unknown nodes are ignored.
+	OnUsages func(u *tracker.UsageReport, complete bool)
 
 	conn    *net.UDPConn
 	started int64
@@ -125,7 +126,8 @@
 			if now.Sub(lastUsage) < max(UrgentPeriod, minUsagePeriod) {
 				continue
 			}
-			if usages := r.BuildUsages(); len(usages) > 0 {
+			// An empty report tells the others that nothing has changed.
+			if usages := r.BuildUsages(); len(usages) > 0 || now.Sub(lastUsage) >= Period {
 				lastUsage = now
 				minUsagePeriod = time.Duration(r.sendUsages(usages)) * time.Second / maxUsageBytesPerSecond
 			}
@@ -316,7 +318,7 @@
 	if !r.Tracker.ApplyReport(time.Now(), &report) {
 		return rest, false
 	}
-	r.applyUsages(&tracker.UsageReport{Node: report.Node, Started: report.Started, Sequence: report.Sequence, AccountUsages: report.AccountUsages})
+	r.applyUsages(&tracker.UsageReport{Node: report.Node, Started: report.Started, Sequence: report.Sequence, AccountUsages: report.AccountUsages}, true)
 	return rest, true
 }
 
@@ -327,14 +329,14 @@
 	if err != nil {
 		return nil, false
 	}
-	return rest, r.applyUsages(&report)
+	return rest, r.applyUsages(&report, false)
 }
 
 // applyUsages passes on the account usages if they are newer than the previous ones of the node.
-func (r *Reporter) applyUsages(u *tracker.UsageReport) bool {
+func (r *Reporter) applyUsages(u *tracker.UsageReport, complete bool) bool {
 	newer := r.Tracker.ApplyUsages(u.Node, u.Started, u.Sequence)
 	if newer {
-		r.OnUsages(u.Node, u.Started, u.AccountUsages)
+		r.OnUsages(u, complete)
 	}
 	return newer
 }
--- a/internal/peer/reporter/reporter_test.go
+++ b/internal/peer/reporter/reporter_test.go
@@ -53,10 +53,11 @@
 			BuildUsages: func() []tracker.AccountUsage {
 				return []tracker.AccountUsage{{Account: "changed", Demand: float32(i)}, {Account: "shop"}}
 			},
-			OnUsages: func(from string, _ int64, usages []tracker.AccountUsage) {
+			OnUsages: func(u *tracker.UsageReport, complete bool) {
 				mu.Lock()
 				defer mu.Unlock()
-				received[fmt.Sprint(from, ">", m.Node, " ", len(usages))] = float32(from[0]-'0') == usages[0].Admitted+usages[0].Demand
+				usages := u.AccountUsages
+				received[fmt.Sprint(u.Node, ">", m.Node, " ", len(usages))] = float32(u.Node[0]-'0') == usages[0].Admitted+usages[0].Demand && complete == (len(usages) == 1)
 			},
 		}
 		assert.NilError(t, r.Open())
--- a/internal/policy/windowlimiter/replay_test.go
+++ b/internal/policy/windowlimiter/replay_test.go
@@ -1,7 +1,6 @@
 package windowlimiter_test
 
 import (
-	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -28,7 +27,9 @@
 	now   time.Duration
 	// loss is the part of the datagrams that is lost. cut reports whether no datagram passes between two nodes.
 	loss float64
-	cut  func(a, b int) bool
+	// delay is the time by which reports are late, as at nodes that are short of processor time.
+	delay time.Duration
+	cut   func(a, b int) bool
 	// period is the time between two reports of all accounts.
 	period   time.Duration
 	pending  []delivery
@@ -53,6 +54,7 @@
 	from, to int
 	process  int64
 	usages   map[string]windowlimiter.Usage
+	complete bool
 }
 
 func newReplay(seed uint64, n int, limit windowlimiter.Limit) *replay {
@@ -120,57 +122,49 @@
 func (r *replay) silent(i, j int) bool { return r.now-r.nodes[i].heard[j] > silenceTimeout }
 
 func (r *replay) exchange() {
-	for _, d := range r.pending {
+	pending := r.pending
+	r.pending = nil
+	for _, d := range pending {
+		if r.now < d.at {
+			r.pending = append(r.pending, d)
+			continue
+		}
 		if !r.down(d.to) {
 			r.nodes[d.to].heard[d.from] = r.now
-			for account, u := range d.usages {
-				r.nodes[d.to].Receive(r.now, windowlimiter.Process{Node: fmt.Sprint(d.from), Started: d.process}, account, u)
-			}
+			r.nodes[d.to].Receive(r.now, windowlimiter.Process{Node: nodeName(d.from), Started: d.process}, d.usages, d.complete)
 		}
 	}
-	r.pending = r.pending[:0]
 	for i, node := range r.nodes {
 		if r.down(i) {
 			continue
 		}
-		r.updateMembers(i)
+		node.SetMembers(r.now, others(len(r.nodes), i))
 		switch {
 		case r.now-node.reportedAt >= r.period:
 			node.reportedAt, node.usageReportedAt = r.now, r.now
-			r.send(i, node.Usages(r.now))
+			r.send(i, node.Usages(r.now), true)
 		case r.now-node.usageReportedAt >= urgentPeriod:
-			if usages := node.UnreportedUsages(r.now); len(usages) > 0 {
+			if usages := node.UnreportedUsages(r.now); len(usages) > 0 || r.now-node.usageReportedAt >= period {
 				node.usageReportedAt = r.now
-				r.send(i, usages)
+				r.send(i, usages, false)
 			}
 		}
 	}
 }
 
-// updateMembers tells a node which others it hears.
-func (r *replay) updateMembers(i int) {
-	live := 0
-	for j := range r.nodes {
-		if i == j || !r.silent(i, j) {
-			live++
-		}
-	}
-	r.nodes[i].SetNodes(live)
-}
-
 // passes reports whether a datagram arrives.
 func (r *replay) passes(from, to int) bool {
 	return from == to || (!r.cut(from, to) && !r.down(to) && r.rng.Float64() >= r.loss)
 }
 
 // send sends a report to the nodes of the same data centre and, through relays, to all others.
-func (r *replay) send(from int, usages map[string]windowlimiter.Usage) {
+func (r *replay) send(from int, usages map[string]windowlimiter.Usage, complete bool) {
 	process := r.nodes[from].process
 	for dc := range dataCentre {
 		if dc == from%dataCentre {
 			for to := dc; to < len(r.nodes); to += dataCentre {
 				if to != from && r.passes(from, to) {
-					r.pending = append(r.pending, delivery{from: from, to: to, process: process, usages: usages})
+					r.pending = append(r.pending, delivery{at: r.now + r.delay, from: from, to: to, process: process, usages: usages, complete: complete})
 				}
 			}
 			continue
@@ -190,7 +184,7 @@
 		}
 		for to := dc; to < len(r.nodes); to += dataCentre {
 			if r.passes(relay, to) {
-				r.pending = append(r.pending, delivery{from: from, to: to, process: process, usages: usages})
+				r.pending = append(r.pending, delivery{at: r.now + r.delay, from: from, to: to, process: process, usages: usages, complete: complete})
 			}
 		}
 	}
@@ -242,21 +236,34 @@
 	return float64(fullest) / allowed
 }
 
+// finalRate returns the rate of admitted requests over the last four seconds, as a part of the account's rate.
+func (r *replay) finalRate() float64 {
+	count := 0
+	for _, at := range r.admitted {
+		if r.now-at < 4*time.Second {
+			count++
+		}
+	}
+	return float64(count) / 4 / r.limit.Rate
+}
+
 // playAll plays each load with accounts and fleets of several sizes, and checks that no account gets more than its limit.
 func playAll(t *testing.T, loads map[string]func(r *replay)) {
 	for name, play := range loads {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			for _, limit := range []windowlimiter.Limit{{Rate: 420, Burst: 420}, shop, small} {
 				for _, n := range []int{14, 79} {
-					worst, within, refused := 0.0, 0, 0
-					for seed := range uint64(6) {
+					worst, final, within, refused := 0.0, 0.0, 0, 0
+					for seed := range uint64(4) {
 						r := newReplay(seed, n, limit)
 						r.run(6*time.Second, 0.62)
 						play(r)
 						worst = max(worst, r.fullest())
+						final += r.finalRate() / 4
 						within, refused = within+r.within, refused+r.refused
 					}
-					t.Logf("%d nodes, rate %.0f: %.2f of the allowed requests; %.3f refused within the rate", n, limit.Rate, worst, float64(refused)/float64(within))
+					t.Logf("%d nodes, rate %.0f: %.2f of the allowed requests; %.2f of the rate at the end; %.3f refused within the rate", n, limit.Rate, worst, final, float64(refused)/float64(within))
 					assert.Check(t, worst <= 1, "%d nodes, rate %.0f: %.2f of the allowed requests", n, limit.Rate, worst)
 				}
 			}
@@ -307,6 +314,33 @@
 	})
 }
 
+// TestRateExceededWithLateReports guards against nodes that all admit at once what one of them may, because they hear
+// late of each other.
+func TestRateExceededWithLateReports(t *testing.T) {
+	load := func(r *replay) {
+		r.run(8*time.Second, 3)
+		r.run(8*time.Second, 13)
+	}
+	playAll(t, map[string]func(r *replay){
+		"growing flood": load,
+		"growing flood, reports 0.2 s late": func(r *replay) {
+			r.delay = 200 * time.Millisecond
+			load(r)
+		},
+		"growing flood, reports 0.4 s late": func(r *replay) {
+			r.delay = 400 * time.Millisecond
+			load(r)
+		},
+		"flood in pulses, reports 0.4 s late": func(r *replay) {
+			r.delay = 400 * time.Millisecond
+			for range 5 {
+				r.run(time.Second, 4.7)
+				r.run(800*time.Millisecond, 0)
+			}
+		},
+	})
+}
+
 // TestRateBoundInFloods checks the bound under floods, kills and lossy links.
 func TestRateBoundInFloods(t *testing.T) {
 	playAll(t, map[string]func(r *replay){
--- a/internal/policy/windowlimiter/windowlimiter.go
+++ b/internal/policy/windowlimiter/windowlimiter.go
@@ -4,6 +4,9 @@
 // and the rate at which requests were offered. Well below the limit, a node admits every request. Near
 // the limit, a node admits requests in proportion to its share of the demand, as long as they still fit
 // into the window.
+//
+// Nodes that are not heard may still admit requests. Each of them keeps an equal part of the limit, so that the parts of
+// a fleet that cannot hear each other together admit no more than the limit.
 package windowlimiter
 
 import (
@@ -50,6 +53,10 @@
 	// startRetryDelay is the longest time after which a caller is told to come back once the demand is known, until the
 	// node has run for a window.
 	startRetryDelay = 600 * time.Millisecond
+	// silenceTimeout is the time without any report after which a node is taken for silent. Nodes that have nothing to
+	// report say so once a second. From lagTime on, a node may have used a growing part of its share of the limit.
+	silenceTimeout = 2 * time.Second
+	lagTime        = 400 * time.Millisecond
 	// minDemand is the minimum demand of a node, in requests per second, so that a node without any
 	// requests yet has a share.
 	minDemand = 0.2
@@ -85,9 +92,23 @@
 	Random func() float64
 
 	accounts map[string]*account
-	nodes    int
-	// indexes holds the position of each other node in the reports of an account.
+	// indexes holds the position of each other node in others and in the reports of an account.
 	indexes map[string]int
+	others  []other
+	// nodes is the number of nodes that share the limits, and heard the number of those that are not silent. Both count
+	// this node.
+	nodes, heard int
+}
+
+// other is what is known of another node.
+type other struct {
+	// member is set if the node shares the limits.
+	member bool
+	// heardAt is when the node was heard last, and completeAt when its latest report of all accounts was received.
+	heardAt, completeAt time.Duration
+	// started identifies the process that sent the latest report of all accounts.
+	started int64
+	silent  bool
 }
 
 type account struct {
@@ -101,9 +122,8 @@
 	rateTokens  float64
 	admitTokens float64
 	refilledAt  time.Duration
-	// reports holds the latest report of each other node; known counts those that are not expired.
+	// reports holds the latest report of each other node.
 	reports []report
-	known   int
 	// ended holds the latest reports of processes that a newer one has replaced. What they admitted may still be within
 	// the window.
 	ended []report
@@ -118,9 +138,7 @@
 
 type report struct {
 	Usage
-	// known is false if there is no report of the node, or if it has expired.
-	known bool
-	at    time.Duration
+	at time.Duration
 	// started is when the process that sent the report started.
 	started int64
 }
@@ -181,36 +199,83 @@
 	Started int64
 }
 
-// Receive records another node's report on an account.
-func (l *Limiter) Receive(now time.Duration, from Process, name string, usage Usage) {
+// Receive records a report of another node on the given accounts. A complete report has all accounts that the node has
+// used within the window. A node that was silent is heard again from its next complete report on, since its use is not
+// known before.
+func (l *Limiter) Receive(now time.Duration, from Process, usages map[string]Usage, complete bool) {
+	i := l.index(now, from.Node)
+	o := &l.others[i]
+	if complete {
+		o.completeAt, o.started = now, from.Started
+		l.setSilent(o, false)
+	}
+	if !o.silent {
+		o.heardAt = now
+	}
+	for name, usage := range usages {
+		l.receive(now, i, from.Started, name, usage)
+	}
+}
+
+func (l *Limiter) receive(now time.Duration, index int, started int64, name string, usage Usage) {
 	a := l.account(now, name)
-	old := a.report(l.index(from.Node))
-	if old.started > from.Started {
+	old := a.report(index)
+	if old.started > started {
 		return
 	}
-	if old.started < from.Started && old.Admitted > 0 {
+	if old.started < started && old.Admitted > 0 {
 		a.dropEnded(now, l.Window)
 		a.ended = append(a.ended, *old)
 	}
-	if !old.known {
-		a.known++
-	}
-	*old = report{Usage: usage, known: true, at: now, started: from.Started}
+	*old = report{Usage: usage, at: now, started: started}
 }
 
-// index returns the position of a node in the reports of an account.
-func (l *Limiter) index(node string) int {
+// index returns the position of a node in others and in the reports of an account.
+func (l *Limiter) index(now time.Duration, node string) int {
 	i, ok := l.indexes[node]
 	if !ok {
 		if l.indexes == nil {
 			l.indexes = map[string]int{}
 		}
-		i = len(l.indexes)
+		i = len(l.others)
 		l.indexes[node] = i
+		l.others = append(l.others, other{heardAt: now})
 	}
 	return i
 }
 
+// SetMembers sets the names of the other nodes that share the limits, whether or not they are heard, and returns how many
+// of them are silent.
+func (l *Limiter) SetMembers(now time.Duration, others []string) (silent int) {
+	for i := range l.others {
+		l.others[i].member = false
+	}
+	for _, name := range others {
+		l.others[l.index(now, name)].member = true
+	}
+	l.nodes, l.heard = 1, 1
+	for i := range l.others {
+		o := &l.others[i]
+		o.silent = o.silent || now-o.heardAt > silenceTimeout
+		if !o.member {
+			continue
+		}
+		l.nodes++
+		if !o.silent {
+			l.heard++
+		}
+	}
+	return l.nodes - l.heard
+}
+
+// setSilent records whether a node is silent.
+func (l *Limiter) setSilent(o *other, silent bool) {
+	if o.member && o.silent && !silent {
+		l.heard++
+	}
+	o.silent = silent
+}
+
 // report returns the report at the position, which may be empty.
 func (a *account) report(i int) *report {
 	if i >= len(a.reports) {
@@ -219,9 +284,6 @@
 	return &a.reports[i]
 }
 
-// SetNodes sets the number of nodes that share the limits.
-func (l *Limiter) SetNodes(n int) { l.nodes = n }
-
 // Admit reports whether a request is within the account's limit and, if not, the time until the node's share of
 // the rate allows another request. An admitted request counts against the limit only once Count is called for
 // it. Requests for which Count is not called, because they are refused for another reason, are limited as well:
@@ -233,19 +295,24 @@
 	a := l.current(now, name)
 	a.offered++
 	windowLimit := limit.Rate*l.Window.Seconds() + limit.Burst
-	used, unreported, demand := a.fleetUsage(now, l.Window, windowLimit/l.Window.Seconds())
+	u := l.fleetUsage(now, a, windowLimit)
+	heardShare := l.heardShare()
+	// Silent nodes may use their part of the limit, and what they are known to have used before may exceed it.
+	available := windowLimit - max(windowLimit*(1-heardShare), u.silent)
 	historyComplete := now-l.Started >= l.Window
-	a.windowLimit, a.used, a.fleetDemand = windowLimit, used, demand
-	rate := windowLimit / l.Window.Seconds()
+	a.windowLimit, a.used, a.fleetDemand = windowLimit, u.used+windowLimit-available, u.demand
+	rate := max(available, 0) / l.Window.Seconds()
 	if !historyComplete {
 		// Requests admitted before the start may still be within the window, so no burst is allowed.
-		rate = limit.Rate
+		rate = limit.Rate * heardShare
 	}
-	share := l.demandShare(now, a, demand)
+	share := l.demandShare(now, a, u.demand)
 	rate *= share
-	a.refill(now, rate)
-	unthrottled := historyComplete && used+unreported+1 <= unthrottledShare*windowLimit+unthrottledExtra
-	if a.admitTokens >= 1 && (unthrottled || (a.rateTokens >= 1 && used+a.estimateUnreported(share)+1 <= windowLimit)) {
+	a.refill(now, rate, heardShare)
+	unthrottled := historyComplete && u.used+u.unreported+1 <= unthrottledShare*available+unthrottledExtra*heardShare
+	// A node whose part is less than one request may still admit one when it has saved a token.
+	fits := u.used+a.estimateUnreported(share)+1 <= max(available, 1)
+	if a.admitTokens >= 1 && (unthrottled || (a.rateTokens >= 1 && fits)) {
 		a.admitTokens--
 		return true, 0
 	}
@@ -257,6 +324,14 @@
 	return false, delay
 }
 
+// heardShare returns the share of the nodes that are heard, or 0 until the nodes are known.
+func (l *Limiter) heardShare() float64 {
+	if l.nodes == 0 {
+		return 0
+	}
+	return float64(l.heard) / float64(l.nodes)
+}
+
 // Count records that an admitted request is sent to a target.
 func (l *Limiter) Count(now time.Duration, name string) {
 	a := l.current(now, name)
@@ -264,30 +339,49 @@
 	a.rateTokens = max(a.rateTokens-1, 0)
 }
 
-// fleetUsage returns the requests that all nodes are known to have admitted within the window, the
-// requests that the other nodes may have admitted since their latest reports, and the demand. A node
-// admits at most its demand and at most its share of the rate.
-func (a *account) fleetUsage(now, window time.Duration, rate float64) (used, unreported, demand float64) {
-	demand = max(a.demand, minDemand)
-	for i := range a.reports {
-		r := &a.reports[i]
-		if r.known && now-r.at > 2*window {
-			*r = report{}
-			a.known--
+// fleetUsage is the known use of an account's limit.
+type fleetUsage struct {
+	// used counts the requests that this node and those that it hears have admitted within the window, and unreported
+	// those that the others may have admitted since their latest reports.
+	used, unreported float64
+	// silent counts the requests that silent nodes are known to have admitted within the window.
+	silent float64
+	// demand is the demand of this node and those that it hears.
+	demand float64
+}
+
+// fleetUsage returns the use of the account's limit. A node admits at most its demand and at most its share of the rate.
+func (l *Limiter) fleetUsage(now time.Duration, a *account, windowLimit float64) fleetUsage {
+	u := fleetUsage{used: a.admitted() + a.admittedByEnded(now, l.Window), demand: max(a.demand, minDemand)}
+	part := windowLimit / float64(max(l.nodes, 1))
+	unreportedDemand := 0.0
+	for i := range l.others {
+		o, r := &l.others[i], a.report(i)
+		if r.at < o.completeAt && (r.started == o.started || now-r.at >= l.Window) {
+			// The node has used nothing since.
+			*r = report{started: r.started}
 		}
-		demand += r.Demand
-	}
-	used = a.admitted() + a.admittedByEnded(now, window)
-	for i := range a.reports {
-		r := &a.reports[i]
-		if !r.known {
+		if o.silent {
+			if now-r.at < l.Window {
+				u.silent += r.Admitted
+			}
 			continue
 		}
-		since := min(now-r.at, window/sliceCount).Seconds()
-		used += r.Admitted
-		unreported += since * min(r.Demand, rate*r.Demand/demand)
+		lag := 0.0
+		if o.member {
+			lag = o.lag(now) * part
+		}
+		u.used += max(r.Admitted, lag)
+		u.demand += r.Demand
+		unreportedDemand += r.Demand * min(now-r.at, l.Window/sliceCount).Seconds()
 	}
-	return used, unreported, demand
+	u.unreported = unreportedDemand * min(1, windowLimit/l.Window.Seconds()/u.demand)
+	return u
+}
+
+// lag returns the part of its share of the limit that the node may have used since it was heard, between 0 and 1.
+func (o *other) lag(now time.Duration) float64 {
+	return min(max((now-o.heardAt-lagTime).Seconds()/(silenceTimeout-lagTime).Seconds(), 0), 1)
 }
 
 // admittedByEnded returns the requests within the window that ended processes may have admitted.
@@ -315,23 +409,23 @@
 	return recent * (1 - share) / share * unreportedShare
 }
 
-// demandShare returns this node's share of the demand. The share is 0 until the number of nodes is known,
-// and equal for all nodes until the other nodes have had time to report their demand.
+// demandShare returns this node's share of the demand of the nodes that it hears. The share is 0 until the nodes are known,
+// and equal for all of them until the other nodes have had time to report their demand.
 func (l *Limiter) demandShare(now time.Duration, a *account, demand float64) float64 {
 	switch {
 	case l.nodes == 0:
 		return 0
-	case now-l.Started < warmUpTime || (a.known == 0 && l.nodes > 1):
-		return 1 / float64(l.nodes)
+	case now-l.Started < warmUpTime:
+		return 1 / float64(l.heard)
 	default:
 		return max(a.demand, minDemand) / demand
 	}
 }
 
-func (a *account) refill(now time.Duration, rate float64) {
+func (a *account) refill(now time.Duration, rate, heardShare float64) {
 	span := (now - a.refilledAt).Seconds()
 	a.refilledAt = now
-	a.rateTokens = min(a.rateTokens+rate*span, max(minRateTokens, rate*rateTokenSpan.Seconds()))
+	a.rateTokens = min(a.rateTokens+rate*span, max(minRateTokens*heardShare, 1, rate*rateTokenSpan.Seconds()))
 	a.admitTokens = min(a.admitTokens+admitFactor*rate*span, max(minAdmitTokens, admitFactor*rate*admitTokenSpan.Seconds()))
 }
 
--- a/internal/policy/windowlimiter/windowlimiter_test.go
+++ b/internal/policy/windowlimiter/windowlimiter_test.go
@@ -1,8 +1,9 @@
 package windowlimiter_test
 
 import (
-	"fmt"
 	"math/rand/v2"
+	"slices"
+	"strconv"
 	"testing"
 	"time"
 
@@ -66,30 +67,41 @@
 
 func (f *fleet) exchange() {
 	for i, from := range f.nodes {
-		from.SetNodes(len(f.nodes))
+		from.SetMembers(f.now, others(len(f.nodes), i))
 		switch {
 		case f.now-f.reportedAt[i] >= max(period, f.minPeriod):
 			f.reportedAt[i] = f.now
-			f.report(i, from.Usages(f.now))
+			f.report(i, from.Usages(f.now), true)
 		case f.now-f.usageReportedAt[i] >= urgentPeriod:
-			if usages := from.UnreportedUsages(f.now); len(usages) > 0 {
-				f.report(i, usages)
+			if usages := from.UnreportedUsages(f.now); len(usages) > 0 || f.now-f.usageReportedAt[i] >= period {
+				f.report(i, usages, false)
 			}
 		}
 	}
 }
 
-func (f *fleet) report(from int, usages map[string]windowlimiter.Usage) {
+func (f *fleet) report(from int, usages map[string]windowlimiter.Usage, complete bool) {
 	f.usageReportedAt[from] = f.now
-	for account, usage := range usages {
-		for j, to := range f.nodes {
-			if from != j && !f.isolated[from] && !f.isolated[j] {
-				to.Receive(f.now, windowlimiter.Process{Node: fmt.Sprint(from), Started: f.processes[from]}, account, usage)
-			}
+	for j, to := range f.nodes {
+		if from != j && !f.isolated[from] && !f.isolated[j] {
+			to.Receive(f.now, windowlimiter.Process{Node: nodeName(from), Started: f.processes[from]}, usages, complete)
 		}
 	}
 }
 
+// names holds the names of the simulated nodes.
+var names = func() (names []string) {
+	for i := range 200 {
+		names = append(names, "node-"+strconv.Itoa(i))
+	}
+	return names
+}()
+
+func nodeName(i int) string { return names[i] }
+
+// others returns the names of all of n nodes but one.
+func others(n, i int) []string { return slices.Concat(names[:i], names[i+1:n]) }
+
 // run offers requests at the given rate for the given time.
 func (f *fleet) run(span time.Duration, perSecond float64) (offered, refused int) {
 	total := 0.0
@@ -340,12 +352,13 @@
 // TestReportsExpire guards against a node that is gone for good but holds on to its part of an account's rate.
 func TestReportsExpire(t *testing.T) {
 	n := windowlimiter.Limiter{Window: window}
-	n.SetNodes(2)
 	now := time.Hour
-	n.Receive(now, windowlimiter.Process{Node: "gone", Started: 1}, "shop", windowlimiter.Usage{Admitted: 120 * 6, Demand: 900})
+	n.SetMembers(now, []string{"gone"})
+	n.Receive(now, windowlimiter.Process{Node: "gone", Started: 1}, map[string]windowlimiter.Usage{"shop": {Admitted: 120 * 6, Demand: 900}}, true)
 	ok, _ := n.Admit(now, "shop", shop)
 	assert.Assert(t, !ok, "the whole window is used")
 	now += 2*window + time.Second
+	n.SetMembers(now, []string{"gone"})
 	for i := range 50 {
 		ok, _ := n.Admit(now+time.Duration(i)*20*time.Millisecond, "shop", shop)
 		assert.Assert(t, ok, "request %d", i)
