Leave room for requests that other nodes admit before they report them

Cause: when a part of the window becomes free, all nodes see it at once and spend what they have saved, up to 0.8 s of the rate together, before they hear of each other. Where reports are late, as on nodes that are short of processor time, that exceeds the tolerance. Class: a decision on stale counts without room for what they miss.

Change: nodes admit up to 0.94 of the window and save 0.5 s of their rate.

--- a/internal/policy/windowlimiter/windowlimiter.go
+++ b/internal/policy/windowlimiter/windowlimiter.go
@@ -23,12 +23,15 @@
 	// unthrottledExtra is added to that part, in requests. It matters for accounts with a low rate, which
 	// have few unreported requests.
 	unthrottledExtra = 6
+	// throttledShare is the part of the window's limit up to which a node admits its share. The rest covers requests that
+	// other nodes admit at the same moment, when a part of the window becomes free.
+	throttledShare = 0.94
 	// demandWindow is the time over which the demand is averaged.
 	demandWindow = time.Second
 	// rateTokenSpan is the time over which a node accumulates unused rate, and minRateTokens the
 	// minimum capacity of that token bucket, in requests. With smaller buckets, an account with few
 	// requests at many nodes would lose most of its rate to idle periods.
-	rateTokenSpan = 800 * time.Millisecond
+	rateTokenSpan = 500 * time.Millisecond
 	minRateTokens = 2
 	// sliceCount is the number of slices in which the requests of a window are counted. The ring has one
 	// slice more, so that a request stays in the count until it has left the window.
@@ -311,7 +314,7 @@
 	a.refill(now, rate, heardShare)
 	unthrottled := historyComplete && u.used+u.unreported+1 <= unthrottledShare*available+unthrottledExtra*heardShare
 	// A node whose part is less than one request may still admit one when it has saved a token.
-	fits := u.used+a.estimateUnreported(share)+1 <= max(available, 1)
+	fits := u.used+a.estimateUnreported(share)+1 <= max(throttledShare*available, 1)
 	if a.admitTokens >= 1 && (unthrottled || (a.rateTokens >= 1 && fits)) {
 		a.admitTokens--
 		return true, 0
