--- /dev/null
+++ b/internal/node/attendant/crash_test.go
@@ -0,0 +1,139 @@
+package attendant_test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/plantainwheel/plantainwheel/internal/standin/responder"
+	"github.com/plantainwheel/plantainwheel/platform"
+	"gotest.tools/v3/assert"
+)
+
+const lookupConfig = `{"version":"%08x","resources":[
+ {"resource_kind":"routes","metadata":{"name":"lookup"},"spec":{"hostname":"h.example","path_prefix":"/a/","route_type":"idempotent","timeout_ms":1500,"slo_ms":1500,"service":"x","max_attempts":2}},
+ {"resource_kind":"tenants","metadata":{"name":"shop"},"spec":{"api_keys":["key"],"rate_per_s":0}}]}`
+
+const (
+	crashingPath = "/a/crash?q=1"
+	// newsTime is the time after which all nodes must know of a crash.
+	newsTime = 3 * time.Second
+	// maxRepeats is the number of times that a request may reach a target after that.
+	maxRepeats = 3
+)
+
+// crashes makes the targets of a fleet crash on crashingPath and come back as new incarnations.
+type crashes struct {
+	f  *fleet
+	mu sync.Mutex
+	at []time.Time
+	// down is the time after which a target is back.
+	down time.Duration
+	wg   sync.WaitGroup
+}
+
+func newCrashes(f *fleet, down time.Duration) *crashes {
+	f.store.Put(platform.ConfigTopic, platform.ConfigKey, fmt.Appendf(nil, lookupConfig, 2))
+	c := &crashes{f: f, down: down}
+	for i := range f.targets {
+		c.arm(i, f.targets[i])
+	}
+	f.t.Cleanup(c.wg.Wait)
+	for i := range f.nodes {
+		f.eventually("served", func() bool { return f.get(i, "/a/1", "outbound") == 200 })
+	}
+	return c
+}
+
+func (c *crashes) arm(i int, target *responder.Responder) {
+	target.CrashOn = crashingPath
+	target.OnCrash = sync.OnceFunc(func() {
+		c.mu.Lock()
+		c.at = append(c.at, time.Now())
+		c.mu.Unlock()
+		c.wg.Go(func() { c.restart(i, target) })
+	})
+}
+
+// restart ends a target and starts its next incarnation at the same address.
+func (c *crashes) restart(i int, target *responder.Responder) {
+	target.Close()
+	time.Sleep(c.down)
+	next := &responder.Responder{ServiceTime: c.f.serviceTime}
+	c.arm(i, next)
+	if _, err := next.OpenAt(c.f.nodes[i].Settings.TargetAddress); err != nil {
+		c.f.t.Error(err)
+		return
+	}
+	c.mu.Lock()
+	c.f.targets[i] = next
+	generation := len(c.at) + 1
+	c.mu.Unlock()
+	cfg := &c.f.nodes[i].Settings
+	body := fmt.Sprintf(`{"service":"x","address":%q,"zone":"dc","concurrency":20,"state":"ready","warmup_ms":0,"sequence":1,"born":%d}`, cfg.TargetAddress, generation)
+	req, err := http.NewRequest(http.MethodPut, "http://"+cfg.AnnounceListen+platform.AnnouncePath+fmt.Sprintf("i-%d-%d", i, generation), strings.NewReader(body))
+	if err != nil {
+		c.f.t.Error(err)
+		return
+	}
+	if resp, err := http.DefaultClient.Do(req); err == nil {
+		_ = resp.Body.Close()
+	}
+}
+
+// times returns the times of the crashes.
+func (c *crashes) times() []time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return append([]time.Time(nil), c.at...)
+}
+
+// TestRepeatsOfCrashingRequest guards against a request that crashes one target after the other, since every node takes it
+// for a new one.
+func TestRepeatsOfCrashingRequest(t *testing.T) {
+	f := newFleet(t, 5)
+	c := newCrashes(f, 300*time.Millisecond)
+	stop := make(chan struct{})
+	var clients sync.WaitGroup
+	var mu sync.Mutex
+	served, lost := 0, 0
+	for i := range f.nodes {
+		clients.Go(func() {
+			for n := 0; ; n++ {
+				select {
+				case <-stop:
+					return
+				case <-time.After(10 * time.Millisecond):
+				}
+				code := f.get(i, fmt.Sprintf("/a/%d", n%3), "outbound")
+				mu.Lock()
+				if code == 200 {
+					served++
+				} else {
+					lost++
+				}
+				mu.Unlock()
+			}
+		})
+	}
+	for n, end := 0, time.Now().Add(8*time.Second); time.Now().Before(end); n++ {
+		f.get(n%len(f.nodes), crashingPath, "outbound")
+		time.Sleep(60 * time.Millisecond)
+	}
+	close(stop)
+	clients.Wait()
+	at := c.times()
+	assert.Assert(t, len(at) >= 3, "%d crashes", len(at))
+	late := 0
+	for _, crash := range at {
+		if crash.Sub(at[2]) > newsTime {
+			late++
+		}
+	}
+	t.Logf("%d crashes, %d of them late; %d other requests served, %d not", len(at), late, served, lost)
+	assert.Check(t, late <= maxRepeats, "the request reached %d targets after all nodes could know of it", late)
+	assert.Check(t, lost*20 <= served, "%d of %d other requests not served", lost, served+lost)
+}
--- a/internal/standin/responder/responder.go
+++ b/internal/standin/responder/responder.go
@@ -93,6 +93,10 @@
 type Responder struct {
 	// ServiceTime is the service time of a request. SetServiceTime changes it while the responder runs.
 	ServiceTime time.Duration
+	// CrashOn, if set, is a part of the URI of the requests that crash the target. OnCrash is then called instead of a
+	// response, on a goroutine of its own, and must call Close.
+	CrashOn string
+	OnCrash func()
 
 	mu          sync.Mutex
 	fault       Fault
@@ -107,8 +111,11 @@
 }
 
 // Open starts to serve on a loopback port and returns the address.
-func (r *Responder) Open() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+func (r *Responder) Open() (string, error) { return r.OpenAt("127.0.0.1:0") }
+
+// OpenAt starts to serve on the address.
+func (r *Responder) OpenAt(address string) (string, error) {
+	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return "", fmt.Errorf("listen: %w", err)
 	}
@@ -230,6 +237,11 @@
 		r.mu.Unlock()
 	}
 	id := req.Header.Get("X-Plantainwheel-Request-Id")
+	if r.CrashOn != "" && strings.Contains(req.RequestURI, r.CrashOn) {
+		go r.OnCrash()
+		_, _ = io.Copy(io.Discard, c)
+		return false
+	}
 	if f.isEndless() {
 		r.writeEndless(c, f, id)
 		return false
