Do not refuse a request as not run after it was sent and lost

Cause: the outcome of the last attempt stood for all of them. An idempotent request that was lost on a reused connection is sent again; when the new connection was refused, the executor reported that nothing was sent. The gateway did the same when an idempotent request was lost at one target and refused by the others.

Change: a request that may have run once stays of unknown outcome (502 or 504). Both tests failed before: TestRefusalAfterLostSend (not run: target-unreachable), and the case 'idempotent and lost, all others refuse' of TestAnswers (503).

--- a/internal/caller/gateway/gateway.go
+++ b/internal/caller/gateway/gateway.go
@@ -250,9 +250,18 @@
 // place sends the request to one target after another until a target has answered or the request may not be placed
 // again.
 func (g *Gateway) place(q *request) *transporter.Answer {
+	lost := ""
 	for n := 0; ; n++ {
 		answer := g.attempt(q)
-		if !g.mayRepeat(q, answer, n) {
+		if answer.Unknown {
+			lost = answer.Reason
+		}
+		switch {
+		case g.mayRepeat(q, answer, n):
+		case answer.NotRun && lost != "":
+			// An earlier target may have run the request.
+			return transporter.UnknownAnswer(lost)
+		default:
 			return answer
 		}
 		answer.Release()
--- a/internal/caller/gateway/gateway_test.go
+++ b/internal/caller/gateway/gateway_test.go
@@ -137,6 +137,7 @@
 		{"targets shed", "/order/1", []*transporter.Answer{shed}, 503, 2},
 		{"idempotent and lost, another runs it", "/read/1", []*transporter.Answer{lost, ok()}, 200, 2},
 		{"idempotent and lost, one target allowed", "/once/1", []*transporter.Answer{lost, ok()}, 502, 1},
+		{"idempotent and lost, all others refuse", "/read/1", []*transporter.Answer{lost, full}, 502, 4},
 		{"order lost", "/order/1", []*transporter.Answer{lost, ok()}, 502, 1},
 		{"order late", "/order/1", []*transporter.Answer{late, ok()}, 504, 1},
 		{"order shed, then lost", "/order/1", []*transporter.Answer{shed, lost, ok()}, 502, 2},
--- a/internal/target/executor/executor.go
+++ b/internal/target/executor/executor.go
@@ -331,10 +331,7 @@
 	if job.Idempotent {
 		maxIdle = maxIdleIdempotent
 	}
-	resp, reused, err := e.send(ctx, &target, job, maxIdle)
-	if err != nil && reused && ctx.Err() == nil && e.canResend(job, err) {
-		resp, _, err = e.send(ctx, &target, job, 0)
-	}
+	resp, err := e.sendAndResend(ctx, &target, job, maxIdle)
 	if err != nil {
 		ctxDone := ctx.Err() != nil
 		cancel()
@@ -346,6 +343,23 @@
 	return readAnswer(resp, job, cancel)
 }
 
+// sendAndResend sends the job, and once more if its reused connection turned out to be closed.
+func (e *Executor) sendAndResend(ctx context.Context, target *Target, job *Job, maxIdle time.Duration) (*http.Response, error) {
+	resp, reused, err := e.send(ctx, target, job, maxIdle)
+	if err == nil || !reused || ctx.Err() != nil || !e.canResend(job, err) {
+		return resp, err
+	}
+	resp, _, again := e.send(ctx, target, job, 0)
+	if errors.Is(again, transporter.ErrNotSent) && !errors.Is(err, transporter.ErrNotSent) {
+		// The target may have run the request when it was sent first.
+		if ctx.Err() == nil {
+			e.markUnreachable()
+		}
+		return nil, err
+	}
+	return resp, again
+}
+
 // send sends the job once.
 func (e *Executor) send(ctx context.Context, target *Target, job *Job, maxIdle time.Duration) (*http.Response, bool, error) {
 	if e.OnSend != nil {
--- a/internal/target/executor/executor_test.go
+++ b/internal/target/executor/executor_test.go
@@ -298,3 +298,13 @@
 	assert.Equal(t, outcome(f.do("x", false)), "not run: target-unreachable")
 	assert.Assert(t, !f.executor.Load().Up)
 }
+
+// TestRefusalAfterLostSend guards against a refusal that says that a request has not run, although the target may have run
+// it before it ended: the request was sent on a connection in use before and is not accepted again.
+func TestRefusalAfterLostSend(t *testing.T) {
+	f := newFixture(t, 4, 20*time.Millisecond)
+	assert.Equal(t, outcome(f.do("first", true)), "answered 200")
+	f.target.CrashOn = "/a//b"
+	f.target.OnCrash = f.target.Close
+	assert.Equal(t, outcome(f.do("second", true)), "unknown: connection-broke")
+}
