Withhold requests that crash the targets that run them

Cause: nothing recognised the request. Every attempt has an id of its own, retry budgets and max_attempts bound one attempt, and a target that had crashed looked like any other broken connection. Class: a failure that repeats at every level, bounded at each and over all of them at none. Ruled out as the main cause: calls of targets (the record has the request at the entry service itself).

Change: the node beside a target recognises its crash (a refused connection, or a new incarnation, of a target that was not leaving; not a closed, silent or reset connection) and names the requests that had begun there, by a hash of method, host, path with query, caller and body. Those that this target has lately answered are left out, and a whole answer clears a request everywhere. From the second crash on one target at a time tries the request, without repeats; from the third on it is refused as not run, with the longest Retry-After, for two minutes, twice as long after each further crash. Nodes push crashes to all others four times, pass on what they learn, and compare digests twice a second, so that lost datagrams and an outage of the store do not matter. Quarantined requests have a record each in the members' topic, written once, so that a fleet that has lost all nodes knows them before it reads a configuration. Crashes, suspects, messages and records are bounded. A request that probably crashed its target gets 502 with a Retry-After and is not repeated by nodes.

--- a/internal/caller/gateway/gateway.go
+++ b/internal/caller/gateway/gateway.go
@@ -6,6 +6,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -14,11 +15,14 @@
 
 	"github.com/phuslu/log"
 	"github.com/plantainwheel/plantainwheel/internal/event/loglimiter"
+	"github.com/plantainwheel/plantainwheel/internal/fleet/isolator"
 	"github.com/plantainwheel/plantainwheel/internal/fleet/tracker"
 	"github.com/plantainwheel/plantainwheel/internal/node/timekeeper"
 	"github.com/plantainwheel/plantainwheel/internal/peer/forwarder"
 	"github.com/plantainwheel/plantainwheel/internal/policy/allocator"
+	"github.com/plantainwheel/plantainwheel/internal/policy/elector"
 	"github.com/plantainwheel/plantainwheel/internal/policy/placer"
+	"github.com/plantainwheel/plantainwheel/internal/policy/quarantiner"
 	"github.com/plantainwheel/plantainwheel/internal/policy/queuer"
 	"github.com/plantainwheel/plantainwheel/internal/policy/windowlimiter"
 	"github.com/plantainwheel/plantainwheel/internal/route/keeper"
@@ -50,6 +54,9 @@
 	// overloadRetryAfter is the retry delay suggested for a shed request when the admitted fraction of its class is
 	// close to 1. It is divided by that fraction, so the delay grows as the fraction falls.
 	overloadRetryAfter = 400 * time.Millisecond
+	// crashedRetryAfter is the retry delay suggested for a request that has probably crashed its target, or that another
+	// target is trying.
+	crashedRetryAfter = 2 * time.Second
 	// maxRetryAfter is the maximum retry delay sent to callers, because the load further ahead cannot be predicted.
 	maxRetryAfter = 5 * time.Second
 )
@@ -68,7 +75,9 @@
 	RateLimits   *RateLimits
 	Shedder      *Shedder
 	RetryBudgets *RetryBudgets
-	Log          *log.Logger
+	// Isolator, if set, tells which requests crash targets.
+	Isolator *isolator.Isolator
+	Log      *log.Logger
 	// RefusedLogLimiter limits the log lines of refused requests, ServedLogLimiter those of served requests.
 	RefusedLogLimiter *loglimiter.Limiter
 	ServedLogLimiter  *loglimiter.Limiter
@@ -108,6 +117,9 @@
 	// tried holds the nodes on whose targets the request was placed.
 	tried []string
 	uri   string
+	// trial is set if only one target at a time may run the request. signature is then its signature.
+	trial     bool
+	signature string
 }
 
 // refusal is an answer that the node itself gives instead of a target's answer.
@@ -236,7 +248,14 @@
 		// The client disconnected, or its body is incomplete.
 		panic(http.ErrAbortHandler)
 	}
+	if err := body.Peek(); err != nil {
+		panic(http.ErrAbortHandler)
+	}
 	q.body = body
+	if v := g.checkQuarantine(q); v != nil {
+		g.refuse(q, v)
+		return
+	}
 	q.service = g.Shedder.ChooseService(q.route)
 	answer := g.place(q)
 	defer answer.Release()
@@ -247,6 +266,29 @@
 	g.writeAnswer(q, answer)
 }
 
+// checkQuarantine refuses a request that is withheld from all targets.
+func (g *Gateway) checkQuarantine(q *request) *refusal {
+	level := g.level(q)
+	q.trial = level == quarantiner.Trial
+	if level == quarantiner.Quarantined {
+		return &refusal{http.StatusServiceUnavailable, executor.ReasonQuarantined, maxRetryAfter}
+	}
+	return nil
+}
+
+// level returns how the request may be run.
+func (g *Gateway) level(q *request) quarantiner.Level {
+	if g.Isolator == nil || !g.Isolator.Active() {
+		return quarantiner.Free
+	}
+	s := g.job(q, &tracker.Member{}).Signature()
+	level := g.Isolator.Level(s)
+	if level >= quarantiner.Trial {
+		q.signature = s.String()
+	}
+	return level
+}
+
 // place sends the request to one target after another until a target has answered or the request may not be placed
 // again.
 func (g *Gateway) place(q *request) *transporter.Answer {
@@ -276,12 +318,14 @@
 		return false
 	}
 	switch {
+	case q.trial, a.NotRun && a.Reason == executor.ReasonQuarantined, a.Unknown && a.Reason == executor.ReasonTargetCrashed:
+		return false
 	case a.NotRun && a.Reason == reasonNoTarget:
 		return false
 	case a.NotRun && a.Reason != executor.ReasonTargetShed:
 		// No target has received the request.
 		return true
-	case a.NotRun || (a.Unknown && q.route.Idempotent):
+	case a.NotRun || (a.Unknown && q.route.Idempotent && g.level(q) < quarantiner.Trial):
 		return q.sends < q.route.MaxTargets && g.RetryBudgets.SpendRetry(q.service)
 	default:
 		return false
@@ -328,12 +372,31 @@
 	defer candidateLists.Put(list)
 	*list = g.Tracker.Candidates((*list)[:0], time.Now(), q.service, q.route.Name, q.tried)
 	i := placer.Choose(*list)
+	if q.trial {
+		i = chooseTrial(q.signature, *list)
+	}
 	if i < 0 {
 		return tracker.Member{}, false
 	}
 	return g.Tracker.Member((*list)[i].Node)
 }
 
+// chooseTrial returns the position of the target that tries the request, which is the same on all nodes that know the same
+// targets, or -1 if there is none.
+func chooseTrial(signature string, list []placer.Candidate) int {
+	var names []string
+	for _, c := range list {
+		if !c.Suspect {
+			names = append(names, c.Node)
+		}
+	}
+	ranked := elector.Rank(signature, names)
+	if len(ranked) == 0 {
+		return placer.Choose(list)
+	}
+	return slices.IndexFunc(list, func(c placer.Candidate) bool { return c.Node == ranked[0] })
+}
+
 // recordStatement records what the answer says about its target, so that this node acts on it even if the target's node
 // has not heard of it or has been restarted.
 func (g *Gateway) recordStatement(m *tracker.Member, a *transporter.Answer) {
@@ -397,6 +460,9 @@
 	case a.Unknown && a.Reason == executor.ReasonAnswerTimeout:
 		g.refuse(q, &refusal{http.StatusGatewayTimeout, a.Reason, 0})
 		return
+	case a.Unknown && a.Reason == executor.ReasonTargetCrashed:
+		g.refuse(q, &refusal{http.StatusBadGateway, a.Reason, crashedRetryAfter})
+		return
 	case a.Unknown:
 		g.refuse(q, &refusal{http.StatusBadGateway, a.Reason, 0})
 		return
@@ -444,10 +510,14 @@
 
 // retryAfter returns the retry delay for a request that has not run.
 func retryAfter(reason string) time.Duration {
-	if reason == executor.ReasonRateLimited {
+	switch reason {
+	case executor.ReasonRateLimited:
 		return rateLimitedRetryAfter
+	case executor.ReasonQuarantined:
+		return crashedRetryAfter
+	default:
+		return transientRetryAfter
 	}
-	return transientRetryAfter
 }
 
 // formatRetryAfter formats the delay as a header value in seconds. It adds jitter, so that refused callers do not all
@@ -475,6 +545,9 @@
 	if q.account != nil {
 		line = line.Str("client-account", q.account.Name)
 	}
+	if q.signature != "" {
+		line = line.Str("signature", q.signature)
+	}
 	if len(q.tried) > 0 {
 		line = line.Strs("tried", q.tried)
 	}
--- a/internal/node/attendant/attendant.go
+++ b/internal/node/attendant/attendant.go
@@ -15,8 +15,10 @@
 	"github.com/phuslu/log"
 	"github.com/plantainwheel/plantainwheel/internal/caller/gateway"
 	"github.com/plantainwheel/plantainwheel/internal/event/loglimiter"
+	"github.com/plantainwheel/plantainwheel/internal/fleet/isolator"
 	"github.com/plantainwheel/plantainwheel/internal/fleet/tracker"
 	"github.com/plantainwheel/plantainwheel/internal/node/timekeeper"
+	"github.com/plantainwheel/plantainwheel/internal/node/waiter"
 	"github.com/plantainwheel/plantainwheel/internal/peer/adviser"
 	"github.com/plantainwheel/plantainwheel/internal/peer/distributor"
 	"github.com/plantainwheel/plantainwheel/internal/peer/forwarder"
@@ -63,6 +65,8 @@
 	targetLinesPerSecond = 2
 	// silenceLogInterval is the minimum time between two log lines on members that are not heard.
 	silenceLogInterval = time.Second
+	// quarantineInterval is the interval at which records of quarantined requests are written, and the pause after a failure.
+	quarantineInterval = time.Second
 	// retryBudgetShare is the share of the fleet's retry budget that nodes use. The rest is left unused because a
 	// retry also counts as a retry at the services that its child calls reach.
 	retryBudgetShare = 0.5
@@ -83,6 +87,7 @@
 	keeper     *keeper.Keeper
 	tracker    *tracker.Tracker
 	executor   *executor.Executor
+	isolator   *isolator.Isolator
 	gateway    *gateway.Gateway
 	watcher    *watcher.Watcher
 	copy       *distributor.Copy
@@ -134,6 +139,8 @@
 	a.pools = []*transporter.Pool{targets, peers}
 	a.executor = executor.New(targets)
 	a.executor.OnStateChange = a.handleTargetState
+	a.isolator = &isolator.Isolator{Self: cfg.Node, Log: a.Log, Metrics: a.Metrics}
+	a.executor.Guard = a.isolator
 	a.executor.OnSend = a.Metrics.NewCounter("target_requests_sent_total").Inc
 	wake := make(chan struct{}, 1)
 	a.copy = &distributor.Copy{Now: timekeeper.SinceBoot, OnQuestion: func(topic string, stale bool) bool { return a.watcher.HandleQuestion(topic, stale) }}
@@ -144,6 +151,7 @@
 		Log: a.Log, Self: cfg.Node, ConfigWait: configPollTimeout, OnOwnMember: a.restoreTarget,
 		SettlePeriod: cfg.Bounds.ConfigApply, MaxSettlePeriod: cfg.Bounds.KeyRevocation,
 		OwnCosts: a.costRecord, OnStoredCosts: a.restoreCosts, OnEra: func() { notify(wake) },
+		Quarantine: a.isolator,
 	}
 	a.poller = &adviser.Poller{
 		Keeper: a.keeper, Tracker: a.tracker, Log: a.Log, PollAfter: scale(cfg.Bounds.KeyRevocation, peerQueryShare), Wake: wake,
@@ -153,7 +161,7 @@
 	a.gateway = a.newGateway(peers)
 	a.reporter = &reporter.Reporter{
 		Listen: cfg.IP + ":" + strconv.Itoa(cfg.ReportPort), Tracker: a.tracker, Urgent: a.urgent, BuildReport: a.buildReport,
-		BuildUsages: a.gateway.RateLimits.UnreportedUsages, OnUsages: a.gateway.RateLimits.Receive,
+		BuildUsages: a.gateway.RateLimits.UnreportedUsages, OnUsages: a.gateway.RateLimits.Receive, Crashes: a.isolator,
 	}
 	a.servers = a.newServers()
 	debug.SetGCPercent(gcPercent)
@@ -186,6 +194,7 @@
 		Sender:       &forwarder.Forwarder{Pool: peers, LoadTracker: a.tracker},
 		RateLimits:   gateway.NewRateLimits(cfg.Bounds.RateWindow),
 		Shedder:      gateway.NewShedder(),
+		Isolator:     a.isolator,
 		RetryBudgets: &gateway.RetryBudgets{RefillPerAttempt: retryBudgetShare * cfg.Bounds.RetryShare, Capacity: 2},
 		Log:          a.Log, RefusedLogLimiter: &loglimiter.Limiter{PerSecond: refusedLinesPerSecond},
 		ServedLogLimiter: &loglimiter.Limiter{PerSecond: servedLinesPerSecond}, Metrics: gateway.NewMetrics(a.Metrics),
@@ -208,7 +217,7 @@
 	a.cancel = cancel
 	for _, run := range []func(context.Context){
 		a.watcher.FollowConfig, a.watcher.FollowMembers, a.watcher.PublishOwn, a.watcher.SyncCosts, a.watcher.FollowEras,
-		a.reporter.Run, a.poller.Run, a.tick,
+		a.reporter.Run, a.poller.Run, a.tick, a.storeQuarantine,
 	} {
 		a.background.Go(func() { run(ctx) })
 	}
@@ -240,11 +249,34 @@
 	}
 }
 
+// storeQuarantine writes the records of quarantined requests until the context ends.
+func (a *Attendant) storeQuarantine(ctx context.Context) {
+	waiter.Every(ctx, quarantineInterval, func(ctx context.Context) {
+		for _, r := range a.isolator.Unstored(a.otherNodes()) {
+			if err := a.watcher.PutQuarantine(ctx, r.Key, r.Value); err != nil {
+				a.Log.Warn().Err(err).Str("key", r.Key).Msg("writing the record of a quarantined request failed")
+				return
+			}
+			a.isolator.Load(r.Key, r.Value)
+		}
+	})
+}
+
+// otherNodes returns the names of the other members.
+func (a *Attendant) otherNodes() []string {
+	var names []string
+	for _, m := range a.tracker.OtherMembers() {
+		names = append(names, m.Node)
+	}
+	return names
+}
+
 // housekeep closes idle connections and logs the load.
 func (a *Attendant) housekeep() {
 	for _, p := range a.pools {
 		p.CloseExpired()
 	}
+	a.isolator.Tick()
 	a.logLoad()
 }
 
--- a/internal/peer/forwarder/server.go
+++ b/internal/peer/forwarder/server.go
@@ -23,6 +23,9 @@
 		return
 	}
 	body, err := transporter.ReadBody(r.Body, r.ContentLength)
+	if err == nil {
+		err = body.Peek()
+	}
 	if err != nil {
 		// The request body could not be read in full.
 		panic(http.ErrAbortHandler)
--- a/internal/peer/reporter/reporter.go
+++ b/internal/peer/reporter/reporter.go
@@ -50,6 +50,8 @@
 	kindUsageRelay = 3
 	// kindBatch precedes several reports, each of which is preceded by kindDirect or kindUsage.
 	kindBatch = 4
+	// kindCrashes precedes a message on crashes of targets, which is not relayed.
+	kindCrashes = 5
 )
 
 const (
@@ -74,6 +76,8 @@
 	// OnUsages is called with the account usages of each received report that is newer than the previous one from the
 	// same node. complete tells whether they are those of all accounts. Reports from unknown nodes are ignored.
 	OnUsages func(u *tracker.UsageReport, complete bool)
+	// Crashes, if set, exchanges messages on crashes of targets.
+	Crashes Exchanger
 
 	conn    *net.UDPConn
 	started int64
@@ -86,6 +90,14 @@
 	batch []byte
 }
 
+// Exchanger exchanges messages with other nodes. Messages may be lost.
+type Exchanger interface {
+	// Messages returns the messages that are due: those for all other nodes, and those for a random node.
+	Messages() (toAll, toOne [][]byte)
+	// Receive applies a message and returns the messages for the given node, if any.
+	Receive(raw []byte) (node string, replies [][]byte)
+}
+
 // Open opens the UDP socket.
 func (r *Reporter) Open() error {
 	addr, err := net.ResolveUDPAddr("udp4", r.Listen)
@@ -117,6 +129,7 @@
 			return
 		case now := <-ticker.C:
 			r.flush()
+			r.exchange()
 			if now.Sub(last) >= r.period(minPeriod) {
 				last, lastUsage = now, now
 				report := r.BuildReport()
@@ -135,6 +148,39 @@
 	}
 }
 
+// exchange sends the messages on crashes that are due.
+func (r *Reporter) exchange() {
+	if r.Crashes == nil {
+		return
+	}
+	others := r.Tracker.OtherMembers()
+	if len(others) == 0 {
+		return
+	}
+	toAll, toOne := r.Crashes.Messages()
+	for _, m := range others {
+		r.sendCrashes(toAll, m)
+	}
+	r.sendCrashes(toOne, others[rand.IntN(len(others))])
+}
+
+func (r *Reporter) sendCrashes(messages [][]byte, to tracker.Member) {
+	for _, raw := range messages {
+		r.write(append([]byte{kindCrashes}, raw...), to)
+	}
+}
+
+// handleCrashes applies a message on crashes and replies to it.
+func (r *Reporter) handleCrashes(raw []byte) {
+	if r.Crashes == nil {
+		return
+	}
+	node, replies := r.Crashes.Receive(raw)
+	if m, ok := r.Tracker.Member(node); ok {
+		r.sendCrashes(replies, m)
+	}
+}
+
 // period returns the time between two reports. minPeriod is the minimum time that keeps the bandwidth within
 // maxBytesPerSecond, given the number of bytes sent for the last report.
 func (r *Reporter) period(minPeriod time.Duration) time.Duration {
@@ -239,7 +285,12 @@
 
 // handleDatagram decodes and applies the reports of a datagram.
 func (r *Reporter) handleDatagram(raw []byte) {
-	if raw[0] != kindBatch {
+	switch raw[0] {
+	case kindBatch:
+	case kindCrashes:
+		r.handleCrashes(raw[1:])
+		return
+	default:
 		_ = r.handleOne(raw)
 		return
 	}
--- a/internal/platform/watcher/publish.go
+++ b/internal/platform/watcher/publish.go
@@ -148,6 +148,16 @@
 	if err != nil {
 		return err
 	}
+	return w.putRaw(ctx, topic, key, raw)
+}
+
+// PutQuarantine writes the record of a quarantined request, or removes it if the value is empty.
+func (w *Watcher) PutQuarantine(ctx context.Context, key string, value []byte) error {
+	return w.putRaw(ctx, platform.MemberTopic, key, value)
+}
+
+// putRaw writes a record and observes the era of the answer.
+func (w *Watcher) putRaw(ctx context.Context, topic, key string, raw []byte) error {
 	ctx, cancel := context.WithTimeout(ctx, putTimeout)
 	defer cancel()
 	era, err := w.Store.Put(ctx, topic, key, raw)
--- a/internal/platform/watcher/watcher.go
+++ b/internal/platform/watcher/watcher.go
@@ -5,12 +5,14 @@
 import (
 	"context"
 	"encoding/json"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/phuslu/log"
+	"github.com/plantainwheel/plantainwheel/internal/fleet/isolator"
 	"github.com/plantainwheel/plantainwheel/internal/fleet/tracker"
 	"github.com/plantainwheel/plantainwheel/internal/peer/distributor"
 	"github.com/plantainwheel/plantainwheel/internal/policy/elector"
@@ -49,6 +51,14 @@
 	Newest(ctx context.Context, topic string) (platform.Batch, error)
 }
 
+// Quarantine receives the records of quarantined requests.
+type Quarantine interface {
+	// Load applies a record. An empty value removes it.
+	Load(key string, value []byte)
+	// Reload receives the keys of all records in the members' topic.
+	Reload(keys map[string]bool)
+}
+
 // Watcher follows the store and publishes this node's records.
 type Watcher struct {
 	Store Store
@@ -79,6 +89,8 @@
 	// costs that a node had stored before this process started.
 	OwnCosts      func() tracker.NodeCosts
 	OnStoredCosts func(tracker.NodeCosts)
+	// Quarantine, if set, receives the records of quarantined requests, which stand beside those of the members.
+	Quarantine Quarantine
 	// OnEra is called when the store has answered in an era for the first time.
 	OnEra func()
 
@@ -252,6 +264,12 @@
 		w.applySettled(r)
 		return
 	}
+	if strings.HasPrefix(r.Key, isolator.KeyPrefix) {
+		if w.Quarantine != nil {
+			w.Quarantine.Load(r.Key, r.Value)
+		}
+		return
+	}
 	if len(r.Value) == 0 {
 		w.Tracker.RemoveMember(r.Key)
 		return
@@ -278,6 +296,9 @@
 		w.own.lost()
 	}
 	w.stored = keys
+	if w.Quarantine != nil {
+		w.Quarantine.Reload(keys)
+	}
 }
 
 // dropMissingMembers removes the other members that have no record in the store.
--- a/internal/route/transporter/transporter.go
+++ b/internal/route/transporter/transporter.go
@@ -62,6 +62,26 @@
 	Stream   io.Reader
 	// Length is the length of Stream in bytes, or -1 if it is unknown.
 	Length int64
+	// Beginning holds the first bytes of Stream once Peek has been called.
+	Beginning []byte
+}
+
+// peekedBytes is the number of bytes that Peek reads.
+const peekedBytes = 4 << 10
+
+// Peek reads the beginning of a stream. It returns an error if the stream fails there.
+func (b *Body) Peek() error {
+	if b.Stream == nil {
+		return nil
+	}
+	buf := make([]byte, peekedBytes)
+	n, err := io.ReadFull(b.Stream, buf)
+	if err != nil && !errors.Is(err, io.ErrUnexpectedEOF) {
+		return err
+	}
+	b.Beginning = buf[:n]
+	b.Stream = io.MultiReader(bytes.NewReader(b.Beginning), b.Stream)
+	return nil
 }
 
 // Repeatable reports whether the body can be sent again.
@@ -189,6 +209,20 @@
 	return resp, reused, nil
 }
 
+// Probe opens and closes a connection to the address. It returns the error of the connection attempt, for example
+// syscall.ECONNREFUSED.
+func (p *Pool) Probe(ctx context.Context, address string) error {
+	p.once.Do(p.start)
+	if p.OnDial != nil {
+		p.OnDial()
+	}
+	conn, err := p.transport.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return err
+	}
+	return conn.Close()
+}
+
 // dial opens a new connection to the address.
 func (p *Pool) dial(ctx context.Context, address string) (*pooledConn, error) {
 	if p.OnDial != nil {
--- a/internal/target/executor/executor.go
+++ b/internal/target/executor/executor.go
@@ -13,6 +13,7 @@
 
 	"github.com/plantainwheel/plantainwheel/internal/policy/estimator"
 	"github.com/plantainwheel/plantainwheel/internal/policy/pacer"
+	"github.com/plantainwheel/plantainwheel/internal/policy/quarantiner"
 	"github.com/plantainwheel/plantainwheel/internal/policy/queuer"
 	"github.com/plantainwheel/plantainwheel/internal/policy/regulator"
 	"github.com/plantainwheel/plantainwheel/internal/policy/retrier"
@@ -32,6 +33,8 @@
 	ReasonDeadlinePassed   = "deadline-passed"
 	ReasonTargetShed       = "target-shed"
 	ReasonCancelled        = "caller-left"
+	// ReasonQuarantined means that targets have crashed while they ran the request.
+	ReasonQuarantined = "quarantined"
 )
 
 // Reasons for reporting an unknown outcome.
@@ -39,6 +42,8 @@
 	ReasonConnectionBroken = "connection-broke"
 	ReasonInvalidAnswer    = "answer-garbled"
 	ReasonAnswerTimeout    = "no-answer-in-time"
+	// ReasonTargetCrashed means that the target has crashed while it ran the request and few others.
+	ReasonTargetCrashed = "target-crashed"
 )
 
 const (
@@ -85,6 +90,8 @@
 	Deadline   time.Time
 	// MaxWait is the maximum time in the queue.
 	MaxWait time.Duration
+
+	signature *quarantiner.Signature
 }
 
 // Load is the current load and health of the target.
@@ -125,6 +132,8 @@
 	// that the target leaves. OnSend, if set, is called for each request sent to the target.
 	OnStateChange func(platform.TargetState)
 	OnSend        func()
+	// Guard, if set, withholds requests that crash targets.
+	Guard Guard
 
 	mu               sync.Mutex
 	target           Target
@@ -140,6 +149,7 @@
 	failureRate      float64
 	failureRateAt    time.Time
 	resendBudget     retrier.TokenBucket
+	runs             runs
 }
 
 // New returns an executor without a target.
@@ -153,12 +163,19 @@
 
 // Do runs the job and returns its answer. The job holds its slot until a streamed answer body is closed.
 func (e *Executor) Do(ctx context.Context, job *Job) *transporter.Answer {
-	reason := e.acquireSlot(ctx, job)
-	if reason != "" {
+	leave, ok := e.enter(job)
+	if !ok {
+		return transporter.NotRunAnswer(ReasonQuarantined)
+	}
+	if reason := e.acquireSlot(ctx, job); reason != "" {
+		leave()
 		return transporter.NotRunAnswer(reason)
 	}
 	began := time.Now()
-	finish := sync.OnceFunc(func() { e.finish(job.Route, began) })
+	finish := sync.OnceFunc(func() {
+		e.finish(job.Route, began)
+		leave()
+	})
 	answer := e.run(ctx, job)
 	e.recordOutcome(answer)
 	if answer.Body.Stream == nil {
@@ -331,16 +348,17 @@
 	if job.Idempotent {
 		maxIdle = maxIdleIdempotent
 	}
+	sent := e.beginRun(&target, job)
 	resp, err := e.sendAndResend(ctx, &target, job, maxIdle)
 	if err != nil {
 		ctxDone := ctx.Err() != nil
 		cancel()
-		return e.failureAnswer(err, ctxDone)
+		return e.endLostRun(sent, &target, err, e.failureAnswer(err, ctxDone))
 	}
 	if isOwnAnswer(resp, job) {
 		e.learn(&target, platform.DecodeTargetState(resp.Header))
 	}
-	return readAnswer(resp, job, cancel)
+	return e.endRun(sent, &target, readAnswer(resp, job, cancel))
 }
 
 // sendAndResend sends the job, and once more if its reused connection turned out to be closed.
--- a/internal/target/executor/target.go
+++ b/internal/target/executor/target.go
@@ -29,6 +29,8 @@
 // one, and then returns false for accepted. The result changed reports whether other nodes must be informed.
 func (e *Executor) Announce(a platform.Announcement) (changed, accepted bool) {
 	now := time.Now()
+	var ended *crash
+	defer func() { e.reportCrash(ended) }()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.outdated(&a) {
@@ -44,6 +46,8 @@
 		WarmUpEnd: now.Add(a.WarmUp),
 	}
 	if newIncarnation {
+		ended = e.collectCrash(&old)
+		e.runs.reset()
 		e.state = platform.TargetState{}
 		e.pacer = pacer.Pacer{}
 		e.unreachableUntil = time.Time{}
