Recognise a request whether it is taken for a client's or a target's call

Cause, suspected: the caller's service was part of the signature for requests that a node takes for calls of its target. On routes without accounts a node cannot tell for certain, and clients of all nodes send the same request, so that it had one signature for each service besides that of clients.

Change: the signature has the account, if any, and no service.

--- a/internal/policy/quarantiner/quarantiner_test.go
+++ b/internal/policy/quarantiner/quarantiner_test.go
@@ -11,7 +11,7 @@
 )
 
 func sign(uri string) quarantiner.Signature {
-	return quarantiner.Sign(&quarantiner.Request{Method: "GET", Host: "h", URI: uri, Caller: "shop"})
+	return quarantiner.Sign(&quarantiner.Request{Method: "GET", Host: "h", URI: uri, Account: "shop"})
 }
 
 func crash(id string, at time.Duration, uris ...string) quarantiner.Crash {
@@ -24,17 +24,17 @@
 
 // TestSignature checks that each part of a request tells it from others, and that parts cannot run into each other.
 func TestSignature(t *testing.T) {
-	base := quarantiner.Request{Method: "GET", Host: "h", URI: "/a?b=%2f", Caller: "shop", Body: []byte("body"), BodyLength: 4}
+	base := quarantiner.Request{Method: "GET", Host: "h", URI: "/a?b=%2f", Account: "shop", Body: []byte("body"), BodyLength: 4}
 	seen := map[quarantiner.Signature]string{}
 	for name, change := range map[string]func(r *quarantiner.Request){
-		"none":   func(*quarantiner.Request) {},
-		"method": func(r *quarantiner.Request) { r.Method = "DELETE" },
-		"host":   func(r *quarantiner.Request) { r.Host = "g" },
-		"query":  func(r *quarantiner.Request) { r.URI = "/a?b=/" },
-		"caller": func(r *quarantiner.Request) { r.Caller = "shop2" },
-		"body":   func(r *quarantiner.Request) { r.Body = []byte("bode") },
-		"length": func(r *quarantiner.Request) { r.BodyLength = 5 },
-		"shift":  func(r *quarantiner.Request) { r.Method, r.Host = "GETh", "" },
+		"none":    func(*quarantiner.Request) {},
+		"method":  func(r *quarantiner.Request) { r.Method = "DELETE" },
+		"host":    func(r *quarantiner.Request) { r.Host = "g" },
+		"query":   func(r *quarantiner.Request) { r.URI = "/a?b=/" },
+		"account": func(r *quarantiner.Request) { r.Account = "shop2" },
+		"body":    func(r *quarantiner.Request) { r.Body = []byte("bode") },
+		"length":  func(r *quarantiner.Request) { r.BodyLength = 5 },
+		"shift":   func(r *quarantiner.Request) { r.Method, r.Host = "GETh", "" },
 	} {
 		r := base
 		change(&r)
--- a/internal/policy/quarantiner/signature.go
+++ b/internal/policy/quarantiner/signature.go
@@ -27,8 +27,9 @@
 	Method, Host string
 	// URI is the path with the query, byte for byte.
 	URI string
-	// Caller is the client account or, for a call by a target, its service. It is empty for clients without an account.
-	Caller string
+	// Account is the client account, if any. Whether a request without one is a client's or a target's call cannot be told
+	// for certain, so the caller's service does not count.
+	Account string
 	// Body is the body or, if it is longer than what nodes hold, its beginning. BodyLength is its declared length in bytes,
 	// or -1 if that is unknown.
 	Body       []byte
@@ -44,7 +45,7 @@
 		_, _ = h.Write(length[:])
 		_, _ = h.Write(b)
 	}
-	for _, text := range []string{r.Method, r.Host, r.URI, r.Caller} {
+	for _, text := range []string{r.Method, r.Host, r.URI, r.Account} {
 		write([]byte(text))
 	}
 	write(r.Body)
--- a/internal/target/executor/crash.go
+++ b/internal/target/executor/crash.go
@@ -12,7 +12,6 @@
 	"time"
 
 	"github.com/plantainwheel/plantainwheel/internal/policy/quarantiner"
-	"github.com/plantainwheel/plantainwheel/internal/policy/queuer"
 	"github.com/plantainwheel/plantainwheel/internal/route/transporter"
 	"github.com/plantainwheel/plantainwheel/platform"
 )
@@ -49,15 +48,9 @@
 		if j.Request.Body.Stream != nil {
 			body, length = j.Request.Body.Beginning, j.Request.Body.Length
 		}
-		caller := ""
-		switch account := j.Request.Header.Get(platform.AccountHeader); {
-		case account != "":
-			caller = "account " + account
-		case j.Rank == queuer.ChildCallRank:
-			caller = "service " + j.Request.Header.Get(platform.CallerServiceHeader)
-		}
 		s := quarantiner.Sign(&quarantiner.Request{
-			Method: j.Request.Method, Host: j.Request.Host, URI: j.Request.URI, Caller: caller, Body: body, BodyLength: length,
+			Method: j.Request.Method, Host: j.Request.Host, URI: j.Request.URI,
+			Account: j.Request.Header.Get(platform.AccountHeader), Body: body, BodyLength: length,
 		})
 		j.signature = &s
 	}
