Do not lose a crash as evidence

What callers see: further crashes before a request is withheld.

Cause: a lost request was taken for one that broke before its target crashed if the node read any answer after it, although that answer may have been on its way before. Requests that ended without an answer in time were never suspect, so that a target that falls silent when it crashes gave no evidence at all.

Change: only an answer to a request that began after the connection broke shows that the target was still alive.

--- a/internal/target/executor/crash.go
+++ b/internal/target/executor/crash.go
@@ -74,8 +74,8 @@
 type runs struct {
 	running map[*sentRun]bool
 	broken  []*sentRun
-	// answeredAt is when the incarnation has last answered.
-	answeredAt time.Time
+	// answeredBegan is when the latest of the requests began that the incarnation has answered.
+	answeredBegan time.Time
 	// crashed is set once the incarnation is known to have crashed. suspects is then the number of its suspects.
 	crashed  bool
 	suspects int
@@ -164,7 +164,7 @@
 	e.mu.Lock()
 	delete(e.runs.running, sent)
 	if sent.incarnation == e.target.incarnation() {
-		e.runs.answeredAt = time.Now()
+		e.runs.answeredBegan = latest(e.runs.answeredBegan, sent.began)
 	}
 	e.mu.Unlock()
 	if !a.NotRun && a.Status != http.StatusMisdirectedRequest && a.Status != http.StatusGatewayTimeout {
@@ -190,19 +190,32 @@
 		}
 		return a
 	case a.Reason == ReasonAnswerTimeout:
-		e.forget(sent)
+		// A target that crashes may fall silent, which only its next incarnation shows.
+		e.recordBroken(sent)
 		return a
 	}
+	e.recordBroken(sent)
+	if e.hasCrashed(sent, target) {
+		return transporter.UnknownAnswer(ReasonTargetCrashed)
+	}
+	return a
+}
+
+// recordBroken records that a run has ended without an answer.
+func (e *Executor) recordBroken(sent *sentRun) {
 	e.mu.Lock()
+	defer e.mu.Unlock()
 	delete(e.runs.running, sent)
 	sent.brokenAt = time.Now()
 	e.runs.broken = slices.DeleteFunc(e.runs.broken, func(r *sentRun) bool { return sent.brokenAt.Sub(r.brokenAt) > brokenLife })
 	if len(e.runs.broken) < maxBroken && sent.incarnation == e.target.incarnation() {
 		e.runs.broken = append(e.runs.broken, sent)
 	}
-	e.mu.Unlock()
-	if e.hasCrashed(sent, target) {
-		return transporter.UnknownAnswer(ReasonTargetCrashed)
+}
+
+func latest(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
 	}
 	return a
 }
@@ -212,7 +225,7 @@
 	time.Sleep(probeDelay)
 	e.mu.Lock()
 	current := sent.incarnation == e.target.incarnation()
-	if !current || e.runs.crashed || e.runs.answeredAt.After(sent.brokenAt) {
+	if !current || e.runs.crashed || e.runs.answeredBegan.After(sent.brokenAt) {
 		defer e.mu.Unlock()
 		return current && e.runs.crashed && e.runs.few()
 	}
@@ -259,8 +272,8 @@
 }
 
 // collectCrash returns the crash of an incarnation with the requests that had begun there, or nil if the incarnation has
-// left or its crash is known. Requests that broke before it answered another one are not among them. The caller holds the
-// mutex.
+// left or its crash is known. Requests that broke before another one began that it has answered are not among them. The
+// caller holds the mutex.
 func (e *Executor) collectCrash(target *Target) *crash {
 	if target.ID == "" || target.Draining || target.Gone || e.runs.crashed {
 		return nil
@@ -270,7 +283,7 @@
 		sent = append(sent, r)
 	}
 	for _, r := range e.runs.broken {
-		if r.brokenAt.After(e.runs.answeredAt) {
+		if r.brokenAt.After(e.runs.answeredBegan) {
 			sent = append(sent, r)
 		}
 	}
