--- a/internal/node/attendant/crash_test.go
+++ b/internal/node/attendant/crash_test.go
@@ -33,11 +33,13 @@
 	// down is the time after which a target is back.
 	down time.Duration
 	wg   sync.WaitGroup
+	// born holds the number of the latest incarnation of each target.
+	born []int
 }
 
 func newCrashes(f *fleet, down time.Duration) *crashes {
 	f.store.Put(platform.ConfigTopic, platform.ConfigKey, fmt.Appendf(nil, lookupConfig, 2))
-	c := &crashes{f: f, down: down}
+	c := &crashes{f: f, down: down, born: make([]int, len(f.targets))}
 	for i := range f.targets {
 		c.arm(i, f.targets[i])
 	}
@@ -70,11 +72,19 @@
 	}
 	c.mu.Lock()
 	c.f.targets[i] = next
-	generation := len(c.at) + 1
+	c.born[i] = len(c.at) + 1
+	c.mu.Unlock()
+	c.announce(i, 1)
+}
+
+// announce announces the latest incarnation of a target.
+func (c *crashes) announce(i, sequence int) {
+	c.mu.Lock()
+	born := c.born[i]
 	c.mu.Unlock()
 	cfg := &c.f.nodes[i].Settings
-	body := fmt.Sprintf(`{"service":"x","address":%q,"zone":"dc","concurrency":20,"state":"ready","warmup_ms":0,"sequence":1,"born":%d}`, cfg.TargetAddress, generation)
-	req, err := http.NewRequest(http.MethodPut, "http://"+cfg.AnnounceListen+platform.AnnouncePath+fmt.Sprintf("i-%d-%d", i, generation), strings.NewReader(body))
+	body := fmt.Sprintf(`{"service":"x","address":%q,"zone":"dc","concurrency":20,"state":"ready","warmup_ms":0,"sequence":%d,"born":%d}`, cfg.TargetAddress, sequence, born)
+	req, err := http.NewRequest(http.MethodPut, "http://"+cfg.AnnounceListen+platform.AnnouncePath+fmt.Sprintf("i-%d-%d", i, born), strings.NewReader(body))
 	if err != nil {
 		c.f.t.Error(err)
 		return
--- /dev/null
+++ b/internal/node/attendant/quarantine_test.go
@@ -0,0 +1,72 @@
+package attendant_test
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/plantainwheel/plantainwheel/internal/fleet/isolator"
+	"github.com/plantainwheel/plantainwheel/internal/node/attendant"
+	"github.com/plantainwheel/plantainwheel/internal/policy/quarantiner"
+	"github.com/plantainwheel/plantainwheel/internal/standin/storer"
+	"github.com/plantainwheel/plantainwheel/platform"
+	"gotest.tools/v3/assert"
+)
+
+// quarantine sends crashingPath until each of the given nodes withholds it.
+func (c *crashes) quarantine(nodes int) {
+	for i := range nodes {
+		c.f.eventually("withheld", func() bool {
+			resp, err := http.DefaultClient.Do(c.f.request(http.MethodGet, c.f.nodes[i].Settings.OutboundListen, crashingPath))
+			if err != nil {
+				return false
+			}
+			defer resp.Body.Close()
+			_, _ = io.Copy(io.Discard, resp.Body)
+			return resp.StatusCode == 503 && resp.Header.Get(platform.RetryAfterHeader) > "4"
+		})
+	}
+}
+
+// TestQuarantineAfterLossOfAllNodes guards against a request that crashes targets again after all nodes have been lost.
+func TestQuarantineAfterLossOfAllNodes(t *testing.T) {
+	f := newFleet(t, 3)
+	c := newCrashes(f, 200*time.Millisecond)
+	c.quarantine(3)
+	f.eventually("stored", func() bool {
+		s := quarantiner.Sign(&quarantiner.Request{Method: http.MethodGet, Host: "h.example", URI: crashingPath, Account: "shop"})
+		return strings.Contains(string(f.store.Newest(platform.MemberTopic, isolator.KeyPrefix+s.String())), `"crashes"`)
+	})
+	time.Sleep(500 * time.Millisecond)
+	before := len(c.times())
+	nodes := f.nodes
+	f.nodes = nil
+	for _, n := range nodes {
+		n.Stop(100 * time.Millisecond)
+	}
+	for i, n := range nodes {
+		next := &attendant.Attendant{Settings: n.Settings, Log: attendant.NewLogger(io.Discard, n.Settings.Node)}
+		next.Build()
+		assert.NilError(t, next.Start())
+		f.nodes = append(f.nodes, next)
+		c.announce(i, 2)
+	}
+	for i := range f.nodes {
+		f.eventually("served", func() bool { return f.get(i, "/a/1", "outbound") == 200 })
+		for range 5 {
+			assert.Equal(t, f.get(i, crashingPath, "outbound"), 503)
+		}
+	}
+	assert.Equal(t, len(c.times()), before)
+}
+
+// TestQuarantineWithoutStore checks that all nodes know of a quarantined request while the store is away.
+func TestQuarantineWithoutStore(t *testing.T) {
+	f := newFleet(t, 4)
+	c := newCrashes(f, 200*time.Millisecond)
+	f.store.SetFaults(storer.Faults{Unavailable: true})
+	c.quarantine(4)
+	assert.Assert(t, len(c.times()) <= 4, "%d crashes", len(c.times()))
+}
--- a/internal/policy/windowlimiter/replay_test.go
+++ b/internal/policy/windowlimiter/replay_test.go
@@ -36,6 +36,18 @@
 	admitted []time.Duration
 	// within counts the requests offered, and refused those refused, while the account's demand is below its rate.
 	within, refused int
+	// repeats is how often callers come back after a refusal. asked counts their requests, and lost those that were refused
+	// each time.
+	repeats     int
+	asked, lost int
+	waiting     []attempt
+}
+
+// attempt is a request that its caller sends at a time.
+type attempt struct {
+	at   time.Duration
+	node int
+	left int
 }
 
 type replayNode struct {
@@ -201,16 +213,16 @@
 		if r.now%checkPeriod == 0 {
 			r.exchange()
 		}
+		r.repeat()
 		for i, n := range r.nodes {
 			p := load * r.limit.Rate * n.weight / total * step.Seconds()
 			for ; r.rng.Float64() < p; p-- {
 				if r.down(i) {
 					continue
 				}
-				ok, _ := n.Admit(r.now, "shop", r.limit)
-				if ok {
-					n.Count(r.now, "shop")
-					r.admitted = append(r.admitted, r.now)
+				ok := r.ask(attempt{node: i, left: r.repeats})
+				if r.repeats > 0 {
+					r.asked++
 				}
 				if load <= 1 {
 					r.within++
@@ -223,6 +235,35 @@
 	}
 }
 
+// ask has a node admit a request. A caller that is refused comes back.
+func (r *replay) ask(a attempt) bool {
+	n := r.nodes[a.node]
+	ok, delay := n.Admit(r.now, "shop", r.limit)
+	switch {
+	case ok:
+		n.Count(r.now, "shop")
+		r.admitted = append(r.admitted, r.now)
+	case a.left > 0:
+		r.waiting = append(r.waiting, attempt{at: r.now + min(delay, time.Second), node: r.rng.IntN(len(r.nodes)), left: a.left - 1})
+	case r.repeats > 0:
+		r.lost++
+	}
+	return ok
+}
+
+// repeat sends the requests of callers that come back now.
+func (r *replay) repeat() {
+	waiting := r.waiting
+	r.waiting = nil
+	for _, a := range waiting {
+		if r.now < a.at {
+			r.waiting = append(r.waiting, a)
+			continue
+		}
+		r.ask(a)
+	}
+}
+
 // fullest returns the number of requests in the fullest window, as a part of what is allowed.
 func (r *replay) fullest() float64 {
 	allowed := (r.limit.Rate*window.Seconds()+r.limit.Burst)*toleranceFactor + toleranceExtra
