Do not clear a request that crashes targets by another target's failure

Cause, read from the code and shown by a test: each signed answer with the request's id counted as a whole run, also a 500. The answer cleared the request, and was remembered for one to two minutes, so that its later crashes named it no longer.

Change: only a success clears a request and is remembered. Evidence: TestFailureClearsNothing failed before at the first fault (a signed 500 counted as an answer).

--- a/internal/fleet/isolator/isolator.go
+++ b/internal/fleet/isolator/isolator.go
@@ -134,7 +134,7 @@
 	delete(i.trials, s)
 }
 
-// Answered records that this node's target has run the request and answered it whole.
+// Answered records that this node's target has run the request with success.
 func (i *Isolator) Answered(s quarantiner.Signature) {
 	i.init()
 	now := i.Now()
--- a/internal/target/executor/crash.go
+++ b/internal/target/executor/crash.go
@@ -34,7 +34,7 @@
 	// Enter reports whether the target may run the request now, and whether that is a trial, after which Leave is called.
 	Enter(s quarantiner.Signature) (ok, trial bool)
 	Leave(s quarantiner.Signature)
-	// Answered records that the target has run the request and answered it whole.
+	// Answered records that the target has run the request with success.
 	Answered(s quarantiner.Signature)
 	// RecordCrash records that an incarnation of the target has ended while it ran the requests. It returns the number of
 	// those that are suspect.
@@ -167,7 +167,8 @@
 		e.runs.answeredBegan = latest(e.runs.answeredBegan, sent.began)
 	}
 	e.mu.Unlock()
-	if !a.NotRun && a.Status != http.StatusMisdirectedRequest && a.Status != http.StatusGatewayTimeout {
+	// A target that fails may answer without having run the request.
+	if !a.NotRun && a.Status >= http.StatusOK && a.Status < http.StatusMultipleChoices {
 		e.Guard.Answered(sent.signature)
 	}
 }
--- a/internal/target/executor/crash_test.go
+++ b/internal/target/executor/crash_test.go
@@ -127,6 +127,17 @@
 	assert.DeepEqual(t, g.seen(), [][]string{{"silent"}})
 }
 
+// TestFailureClearsNothing guards against a request that crashes targets and is cleared by the failure of another target,
+// which may have answered without running it.
+func TestFailureClearsNothing(t *testing.T) {
+	f, g := newGuardedFixture(t, 0)
+	for _, fault := range []responder.Fault{responder.Failed, responder.Unavailable, responder.Shed, responder.Misdirected, responder.Unsigned, responder.Truncate} {
+		f.target.SetFault(fault)
+		f.do("failed", false)
+		assert.Equal(t, g.answered, 0, string(fault))
+	}
+}
+
 // TestWithheldRequest checks that a request that the guard withholds does not reach the target.
 func TestWithheldRequest(t *testing.T) {
 	f, g := newGuardedFixture(t, 0)
