Take messages on crashes with many suspects

Cause: the decoder's limit of 300 elements, meant for crashes, also bounds the bytes of the signatures, so that a message on a crash with more than 18 suspects was rejected by every node. Change: the limit is 4,096, above 128 signatures.

--- a/internal/fleet/isolator/message.go
+++ b/internal/fleet/isolator/message.go
@@ -9,7 +9,7 @@
 //go:generate msgp -file message.go -o message_gen.go -io=false -tests=false -unexported
 
 //msgp:tuple message crashRecord
-//msgp:limit arrays:300 maps:10
+//msgp:limit arrays:4096 maps:10
 
 // message is what a node tells others of crashes. It is encoded as a list of its fields in this order.
 type message struct {
--- a/internal/fleet/isolator/message_gen.go
+++ b/internal/fleet/isolator/message_gen.go
@@ -8,7 +8,7 @@
 
 // Size limits for msgp deserialization
 const (
-	zdc5d9100limitArrays = 300
+	zdc5d9100limitArrays = 4096
 	zdc5d9100limitMaps   = 10
 )
 
