Suspect an answered request again after one excused crash

What callers see: more crashes than needed before a request is withheld, if it was answered before it turned bad, as after a release.

Cause: a request that the target had answered within the last one or two minutes was excused at every crash in which it was in flight. Change: it is excused once, and then has to be answered again. Popular requests are answered again within milliseconds. Evidence: TestAnsweredRequestTurnsBad (0 of 3 nodes withheld it after six crashes before).

--- a/internal/fleet/isolator/isolator.go
+++ b/internal/fleet/isolator/isolator.go
@@ -150,7 +150,7 @@
 }
 
 // RecordCrash records that an incarnation of this node's target has ended while it ran the given requests. Those that the
-// target has lately answered are not suspect. It returns the number of the others.
+// target has lately answered are not suspect, unless it has crashed since while it ran them. It returns the number of the others.
 func (i *Isolator) RecordCrash(incarnation, service string, began []quarantiner.Run) int {
 	i.init()
 	i.crashes.Inc()
@@ -160,7 +160,11 @@
 	i.mu.Lock()
 	for _, s := range began {
 		same := func(v quarantiner.Verdict) bool { return v.Signature == s.Signature }
-		if i.memory.Answered(s.Signature) || len(c.Suspects) == quarantiner.MaxSuspects || slices.ContainsFunc(c.Suspects, same) {
+		if i.memory.Answered(s.Signature) {
+			i.memory.Forget(s.Signature)
+			continue
+		}
+		if len(c.Suspects) == quarantiner.MaxSuspects || slices.ContainsFunc(c.Suspects, same) {
 			continue
 		}
 		c.Suspects = append(c.Suspects, quarantiner.Verdict{Signature: s.Signature})
--- a/internal/fleet/isolator/isolator_test.go
+++ b/internal/fleet/isolator/isolator_test.go
@@ -171,6 +171,23 @@
 	}
 }
 
+// TestAnsweredRequestTurnsBad guards against a request that was answered before it crashes each target, as after a release,
+// and is excused each time.
+func TestAnsweredRequestTurnsBad(t *testing.T) {
+	f := newFleet(1, 3, 0)
+	for i := range 3 {
+		f.nodes[i].Answered(sign("/turns"))
+		f.crash(i, 1, "/turns")
+	}
+	f.run(time.Second)
+	assert.Equal(t, f.quarantinedAt(sign("/turns")), 0)
+	for i := range 3 {
+		f.crash(i, 2, "/turns")
+	}
+	f.run(time.Second)
+	assert.Equal(t, f.quarantinedAt(sign("/turns")), 3)
+}
+
 // TestTrials checks that only one request at a time is tried by a target after two crashes.
 func TestTrials(t *testing.T) {
 	f := newFleet(1, 2, 0)
--- a/internal/policy/quarantiner/quarantiner.go
+++ b/internal/policy/quarantiner/quarantiner.go
@@ -349,4 +349,10 @@
 	return recent || older
 }
 
+// Forget drops a request, which then has to be answered again to count as answered.
+func (m *Memory) Forget(s Signature) {
+	delete(m.recent, key(s))
+	delete(m.older, key(s))
+}
+
 func key(s Signature) uint64 { return binary.BigEndian.Uint64(s[:8]) }
