Save a minimum of the rate on nodes with few requests of an account

Cause: a node saves its share of the rate by its demand, which between two requests of a sparse account has decayed when the next one arrives, so that the shares in use sum up to less than one. Change: a node saves at least half of an equal share, and counts 0.65 of the others' recent requests as unreported in place of 0.5. What goes on to load shedding still follows the demand.

--- a/internal/policy/windowlimiter/windowlimiter.go
+++ b/internal/policy/windowlimiter/windowlimiter.go
@@ -45,7 +45,7 @@
 	minAdmitTokens = 6
 	// unreportedShare is the part of the latest one and a half slices that is not reported yet, given that
 	// reports are at most a fifth of a second old.
-	unreportedShare = 0.5
+	unreportedShare = 0.65
 	// unreportedUse and unreportedExtra limit what the nodes together may have admitted without a report, as a part of
 	// the window's limit and in requests. unreportedDemand does so for the demand, as a part of the rate.
 	unreportedUse    = 0.04
@@ -60,6 +60,8 @@
 	// report say so once a second. From lagTime on, a node may have used a growing part of its share of the limit.
 	silenceTimeout = 2 * time.Second
 	lagTime        = 400 * time.Millisecond
+	// minShare is the minimum share of the rate that a node saves, as a part of an equal share.
+	minShare = 0.5
 	// minDemand is the minimum demand of a node, in requests per second, so that a node without any
 	// requests yet has a share.
 	minDemand = 0.2
@@ -310,8 +312,10 @@
 		rate = limit.Rate * heardShare
 	}
 	share := l.demandShare(now, a, u.demand)
-	rate *= share
-	a.refill(now, rate, heardShare)
+	// Between two requests of an account with few, its demand here is underestimated.
+	savedShare := max(share, minShare/float64(max(l.heard, 1)))
+	a.refill(now, rate*savedShare, rate*share, heardShare)
+	rate *= savedShare
 	unthrottled := historyComplete && u.used+u.unreported+1 <= unthrottledShare*available+unthrottledExtra*heardShare
 	// A node whose part is less than one request may still admit one when it has saved a token.
 	fits := u.used+a.estimateUnreported(share)+1 <= max(throttledShare*available, 1)
@@ -425,11 +429,12 @@
 	}
 }
 
-func (a *account) refill(now time.Duration, rate, heardShare float64) {
+// refill adds to the tokens what the node saves of the given rates.
+func (a *account) refill(now time.Duration, rate, admitRate, heardShare float64) {
 	span := (now - a.refilledAt).Seconds()
 	a.refilledAt = now
 	a.rateTokens = min(a.rateTokens+rate*span, max(minRateTokens*heardShare, 1, rate*rateTokenSpan.Seconds()))
-	a.admitTokens = min(a.admitTokens+admitFactor*rate*span, max(minAdmitTokens, admitFactor*rate*admitTokenSpan.Seconds()))
+	a.admitTokens = min(a.admitTokens+admitFactor*admitRate*span, max(minAdmitTokens, admitFactor*admitRate*admitTokenSpan.Seconds()))
 }
 
 // UnreportedUsages returns this node's report on the accounts of which the other nodes need one soon.
