Soak with requests that crash their targets

A further kind of fault: the same request is sent to all nodes in turn, each tenth of a second for 5 to 13 s, and crashes each target that runs it, which is back after half a second. The check counts the runs that began at nodes in touch when all could know of the third crash.

--- a/internal/soak/checker/checker.go
+++ b/internal/soak/checker/checker.go
@@ -17,12 +17,17 @@
 	Key     string
 	// Once marks a non-idempotent request, which must run at most once.
 	Once bool
+	// Crashing marks a request that crashes each target that runs it. All requests with the same text are the same one, and
+	// have it as their body.
+	Crashing string
 	// Stable reports whether the key of the account is valid throughout the soak run.
 	Stable bool
 	// Node is the index of the node that received the request from the client.
 	Node int
 	// At is the time the request was sent.
 	At time.Time
+	// InTouch is set by the checker if the node had not been disturbed for Bounds.Contact.
+	InTouch bool
 }
 
 // Run is the execution of a request by a target. Its fields appear by name in findings.
@@ -30,7 +35,7 @@
 	ID       string
 	Instance string
 	Account  string
-	// Body is the request body that the target received. Clients send the ID of the request as its body.
+	// Body is the request body that the target received. Clients send the ID of the request as its body, or Crashing.
 	Body string
 	// At is the time the execution started.
 	At time.Time
@@ -90,6 +95,7 @@
 	revokedAt     map[string]time.Time
 	drainingSince map[string]time.Time
 	targets       targetRecords
+	crashing      crashingRecords
 }
 
 // RecordRequest records a request. It is called before the request is sent.
@@ -99,6 +105,7 @@
 	if c.requests == nil {
 		c.requests = map[string]Request{}
 	}
+	r.InTouch = r.At.Sub(c.crashing.disturbedAt[r.Node]) > c.Bounds.Contact
 	c.requests[r.ID] = r
 }
 
@@ -157,7 +164,7 @@
 	succeeded := 0
 	for _, resp := range c.responses {
 		q := c.requests[resp.ID]
-		excluded := resp.Status == 429 || (resp.Status == 401 && !q.Stable)
+		excluded := q.Crashing != "" || resp.Status == 429 || (resp.Status == 401 && !q.Stable)
 		if q.At.Before(from) || q.At.After(until) || excluded {
 			continue
 		}
@@ -188,6 +195,7 @@
 		findings = append(findings, c.checkResponse(resp, runsByID[resp.ID])...)
 	}
 	findings = append(findings, c.checkTargets()...)
+	findings = append(findings, c.checkCrashing()...)
 	for account, limit := range c.Limits {
 		findings = append(findings, c.checkRate(account, limit)...)
 	}
@@ -201,7 +209,7 @@
 	switch {
 	case !sent:
 		return []Finding{{"UNASKED", fmt.Sprintf("%+v was never sent", r)}}
-	case r.Account != q.Account || r.Body != q.ID:
+	case r.Account != q.Account || r.Body != cmp.Or(q.Crashing, q.ID):
 		findings = append(findings, Finding{"UNASKED", fmt.Sprintf("%+v was sent as %+v", r, q)})
 	}
 	if at, ok := c.revokedAt[q.Key]; ok && q.At.Sub(at) > c.Bounds.KeyRevocation+c.Bounds.ClockError {
--- a/internal/soak/checker/target.go
+++ b/internal/soak/checker/target.go
@@ -62,6 +62,7 @@
 func (c *Checker) RecordDisturbance(node int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.recordNodeDisturbance(node)
 	for key := range c.targets.told {
 		if key.node == node {
 			delete(c.targets.told, key)
--- a/internal/soak/injector/injector.go
+++ b/internal/soak/injector/injector.go
@@ -35,6 +35,7 @@
 	RestoreStore      Kind = "store-restored"
 	LimitTarget       Kind = "target-limit"
 	LeaveTarget       Kind = "target-leaves"
+	CrashingRequest   Kind = "crashing-request"
 )
 
 // BaseKinds are the kinds of faults that the recorded seeds draw from. A seed gives another plan with other kinds.
@@ -43,8 +44,11 @@
 	StoreUnavailable, StoreUnresponsive, RevokeKey, KillAll,
 }
 
-// AllKinds lists all kinds of faults.
-var AllKinds = append(slices.Clone(BaseKinds), RestoreStore, LimitTarget, LeaveTarget)
+// AllKinds are the kinds of faults that further recorded seeds draw from, and EveryKind lists all kinds.
+var (
+	AllKinds  = append(slices.Clone(BaseKinds), RestoreStore, LimitTarget, LeaveTarget)
+	EveryKind = append(slices.Clone(AllKinds), CrashingRequest)
+)
 
 // nodeKinds lists the faults that may keep one node from acting on what it has learned.
 var nodeKinds = []Kind{KillNode, StopNode, FreezeNode, PeerLink, StoreLink, TargetLink}
@@ -82,6 +86,10 @@
 	minCopyAge = time.Second
 	// minLimitTime is added to the duration of a target's limit, which is checked only some seconds after it was named.
 	minLimitTime = 6 * time.Second
+	// crashingInterval is the time between two crashing requests, and minCrashingTime is added to the time for which they
+	// are sent, so that some are sent when all nodes know of them.
+	crashingInterval = 100 * time.Millisecond
+	minCrashingTime  = 5 * time.Second
 	// maxLimit is the highest limit that a target names, in requests per second.
 	maxLimit = 12
 )
@@ -121,6 +129,8 @@
 	Nodes int
 	// RevokeKey revokes the key of a client account and issues a new one.
 	RevokeKey func()
+	// SendCrashing sends a request that crashes its target to a node.
+	SendCrashing func(node int, request string)
 	// Report receives the violated guarantees that the injector itself detects.
 	Report func(rule, text string)
 	// Disturbed receives the index of a node whenever a fault of the node or of its links begins or ends.
@@ -193,6 +203,8 @@
 		inj.RevokeKey()
 	case RestoreStore:
 		inj.restoreStore(s.For)
+	case CrashingRequest:
+		inj.sendCrashing(s)
 	case LimitTarget:
 		n.LimitTarget(float64(1 + s.For%maxLimit))
 		time.Sleep(s.For + minLimitTime)
@@ -200,6 +212,17 @@
 	}
 }
 
+// sendCrashing sends the same crashing request to all nodes in turn.
+func (inj *Injector) sendCrashing(s Step) {
+	request := fmt.Sprint(launcher.CrashingPrefix, s.At.Milliseconds())
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	for i, end := s.Node, time.Now().Add(minCrashingTime+s.For); time.Now().Before(end); i++ {
+		wg.Go(func() { inj.SendCrashing(i%inj.Nodes, request) })
+		time.Sleep(crashingInterval)
+	}
+}
+
 // restoreStore takes the store away for up to a second and restores it from a copy that is up to five seconds older. A
 // key is revoked right after the copy was made and one while the store is away. In one half of the cases the operator
 // makes so many changes at once that they take up the lost offsets up to the position of the nodes. In the other half
--- a/internal/soak/injector/soak.go
+++ b/internal/soak/injector/soak.go
@@ -98,7 +98,7 @@
 	}
 	steps := Plan(s.Seed, s.Nodes, s.FaultPeriod, s.Kinds)
 	sleep(ctx, warmUpTime)
-	inj := &Injector{Fleet: s.fleet, Nodes: s.Nodes, RevokeKey: s.revokeKey, Report: s.report, Disturbed: s.checker.RecordDisturbance}
+	inj := &Injector{Fleet: s.fleet, Nodes: s.Nodes, RevokeKey: s.revokeKey, SendCrashing: s.sendCrashing, Report: s.report, Disturbed: s.checker.RecordDisturbance}
 	inj.Run(ctx, steps)
 	s.restore()
 	sleep(ctx, recoveryTime)
@@ -228,24 +228,44 @@
 
 // sendRequest sends one request and returns its status, or 0 if there was no complete response.
 func (s *Soak) sendRequest(ctx context.Context, client *http.Client, node int, account, key string, nonIdempotent bool) int {
-	id := fmt.Sprintf("%016x", rand.Uint64())
+	id := newID()
 	path := "/read/"
 	if nonIdempotent {
 		path = "/order/"
 	}
+	return s.send(ctx, client, path+id, id, checker.Request{ID: id, Account: account, Key: key, Once: nonIdempotent, Stable: account != rotatingAccount, Node: node})
+}
+
+// sendCrashing sends a request that crashes its target.
+func (s *Soak) sendCrashing(node int, request string) {
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 2 * routeTimeout}
+	s.mu.Lock()
+	key := s.keys[unlimitedAccount]
+	s.mu.Unlock()
+	s.send(context.Background(), client, "/read/"+request, request, checker.Request{
+		ID: newID(), Account: unlimitedAccount, Key: key, Stable: true, Node: node, Crashing: request,
+	})
+}
+
+func newID() string { return fmt.Sprintf("%016x", rand.Uint64()) }
+
+// send sends and records a request.
+func (s *Soak) send(ctx context.Context, client *http.Client, path, text string, q checker.Request) int {
 	// A body that cannot be rewound keeps the HTTP client from resending the request on its own.
-	body := io.MultiReader(strings.NewReader(id))
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s.fleet.Node(node).Outbound()+path+id, body)
+	body := io.MultiReader(strings.NewReader(text))
+	node := q.Node
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s.fleet.Node(node).Outbound()+path, body)
 	if err != nil {
 		return 0
 	}
-	r.ContentLength = int64(len(id))
+	r.ContentLength = int64(len(text))
 	r.Host = host
-	r.Header.Set(platform.RequestIDHeader, id)
+	r.Header.Set(platform.RequestIDHeader, q.ID)
 	r.Header.Set(platform.DeadlineHeader, fmt.Sprint(routeTimeout.Milliseconds()))
-	r.Header.Set(platform.AuthorizationHeader, platform.BearerPrefix+key)
-	s.checker.RecordRequest(checker.Request{ID: id, Account: account, Key: key, Once: nonIdempotent, Stable: account != rotatingAccount, Node: node, At: time.Now()})
-	response := checker.Response{ID: id}
+	r.Header.Set(platform.AuthorizationHeader, platform.BearerPrefix+q.Key)
+	q.At = time.Now()
+	s.checker.RecordRequest(q)
+	response := checker.Response{ID: q.ID}
 	resp, err := client.Do(r)
 	if err == nil {
 		response.Status = resp.StatusCode
--- a/internal/soak/launcher/launcher.go
+++ b/internal/soak/launcher/launcher.go
@@ -365,6 +365,21 @@
 	return t
 }
 
+// restartCrashed ends an incarnation that a request has crashed, and starts the next one.
+func (n *Node) restartCrashed(t *target) {
+	n.ReplaceMu.Lock()
+	defer n.ReplaceMu.Unlock()
+	n.mu.Lock()
+	current := n.target == t
+	n.mu.Unlock()
+	if !current {
+		return
+	}
+	n.CrashTarget()
+	time.Sleep(crashTime)
+	_ = n.StartTarget()
+}
+
 // CrashTarget crashes the target, which stops without an announcement.
 func (n *Node) CrashTarget() {
 	if t := n.detachTarget(); t != nil {
--- a/internal/soak/launcher/target.go
+++ b/internal/soak/launcher/target.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -28,6 +29,12 @@
 	heartbeatTimeout  = time.Second
 )
 
+// CrashingPrefix begins the bodies of requests that crash the target.
+const CrashingPrefix = "crash"
+
+// crashTime is the time after which a crashed target is back.
+const crashTime = 500 * time.Millisecond
+
 // InstanceHeader holds the ID of the incarnation that produced a response.
 const InstanceHeader = "Soak-Instance"
 
@@ -186,6 +193,11 @@
 	defer t.release()
 	t.checker.RecordRun(checker.Run{ID: id, Instance: t.id, Account: r.Header.Get(platform.AccountHeader), Body: string(body), At: time.Now()})
 	time.Sleep(minServiceTime + rand.N(maxServiceTime-minServiceTime))
+	if strings.HasPrefix(string(body), CrashingPrefix) {
+		t.checker.RecordCrash(string(body), time.Now())
+		go t.node.restartCrashed(t)
+		panic(http.ErrAbortHandler)
+	}
 	if t.dropResponses.Load() && rand.IntN(2) == 0 {
 		panic(http.ErrAbortHandler)
 	}
