List quarantined requests, and report soon after a crash

What operators lack: which requests are withheld, and why. Each node lists them with their crashes (target, node, service, time) at /quarantine beside its metrics. What callers see after a crash: other nodes go on admitting requests for targets that are gone, until the next report up to a second later; a node whose target has crashed reports at the urgent interval for five seconds. TestQuarantineAfterLossOfAllNodes reads the list.

--- a/internal/node/attendant/quarantine_test.go
+++ b/internal/node/attendant/quarantine_test.go
@@ -1,6 +1,8 @@
 package attendant_test
 
 import (
+	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -39,6 +41,16 @@
 		s := quarantiner.Sign(&quarantiner.Request{Method: http.MethodGet, Host: "h.example", URI: crashingPath, Account: "shop"})
 		return strings.Contains(string(f.store.Newest(platform.MemberTopic, isolator.KeyPrefix+s.String())), `"crashes"`)
 	})
+	resp, err := http.Get(fmt.Sprintf("http://%s:%d/quarantine", f.nodes[1].Settings.IP, f.nodes[1].Settings.MetricsPort))
+	assert.NilError(t, err)
+	defer resp.Body.Close()
+	var list []struct {
+		Signature string
+		Crashes   []struct{ Target, Node, Service string }
+	}
+	assert.NilError(t, json.NewDecoder(resp.Body).Decode(&list))
+	assert.Equal(t, len(list), 1)
+	assert.Assert(t, len(list[0].Crashes) >= 3 && list[0].Crashes[0].Service == "x", "%v", list)
 	time.Sleep(500 * time.Millisecond)
 	before := len(c.times())
 	nodes := f.nodes
--- a/internal/node/attendant/report.go
+++ b/internal/node/attendant/report.go
@@ -84,10 +84,15 @@
 // the demand that enters at a new node, and after a loss of all nodes each node knows only its own demand.
 const startupUrgentPeriod = 3 * time.Second
 
-// urgent reports whether reports must be sent at the urgent interval: the target is close to its limit, or the node has
-// just started.
+// crashUrgentPeriod is how long after a crash of its target a node reports at the urgent interval, so that the service's
+// smaller capacity is known at once.
+const crashUrgentPeriod = 5 * time.Second
+
+// urgent reports whether reports must be sent at the urgent interval: the target is close to its limit or has just crashed,
+// or the node has just started.
 func (a *Attendant) urgent() bool {
-	if time.Since(a.started) < startupUrgentPeriod || a.executor.Load().Mean > urgentLoad {
+	load := a.executor.Load()
+	if time.Since(a.started) < startupUrgentPeriod || time.Since(load.CrashedAt) < crashUrgentPeriod || load.Mean > urgentLoad {
 		return true
 	}
 	a.planMu.Lock()
--- a/internal/node/attendant/server.go
+++ b/internal/node/attendant/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	stdlog "log"
@@ -11,6 +12,7 @@
 	"strings"
 	"time"
 
+	"github.com/plantainwheel/plantainwheel/internal/node/timekeeper"
 	"github.com/plantainwheel/plantainwheel/internal/peer/adviser"
 	"github.com/plantainwheel/plantainwheel/internal/peer/distributor"
 	"github.com/plantainwheel/plantainwheel/internal/peer/forwarder"
@@ -105,8 +107,11 @@
 	control := http.NewServeMux()
 	control.Handle(adviser.AdviserPathPrefix, (&adviser.Server{Keeper: a.keeper}).Handler())
 	control.Handle(distributor.DistributorPathPrefix, (&distributor.Server{Copy: a.copy, Topics: watcher.Topics}).Handler())
+	figures := http.NewServeMux()
+	figures.HandleFunc("/", a.writeMetrics)
+	figures.HandleFunc("GET "+quarantinePath, a.writeQuarantine)
 	list := []*server{
-		newControlServer("metrics", cfg.IP+":"+strconv.Itoa(cfg.MetricsPort), http.HandlerFunc(a.writeMetrics)),
+		newControlServer("metrics", cfg.IP+":"+strconv.Itoa(cfg.MetricsPort), figures),
 		newControlServer("control", a.controlAddress(), control),
 		newControlServer("announcements", cfg.AnnounceListen, announce),
 		newServer("peer requests", cfg.InboundListen, &forwarder.Server{Executor: a.executor}),
@@ -119,6 +124,37 @@
 	a.Metrics.WritePrometheus(w)
 }
 
+// quarantinePath is the path at which the metrics server lists the quarantined requests.
+const quarantinePath = "/quarantine"
+
+// quarantinedRequest describes a quarantined request to an operator.
+type quarantinedRequest struct {
+	Signature string           `json:"signature"`
+	Crashes   []describedCrash `json:"crashes"`
+}
+
+type describedCrash struct {
+	Target  string    `json:"target"`
+	Node    string    `json:"node"`
+	Service string    `json:"service"`
+	At      time.Time `json:"at"`
+}
+
+// writeQuarantine lists the quarantined requests with the crashes that they are not cleared of.
+func (a *Attendant) writeQuarantine(w http.ResponseWriter, _ *http.Request) {
+	now, wall := timekeeper.SinceBoot(), time.Now()
+	list := []quarantinedRequest{}
+	for _, e := range a.isolator.Entries() {
+		q := quarantinedRequest{Signature: e.Signature.String()}
+		for _, c := range e.Crashes {
+			q.Crashes = append(q.Crashes, describedCrash{Target: c.ID, Node: c.Node, Service: c.Service, At: wall.Add(c.At - now)})
+		}
+		list = append(list, q)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(list)
+}
+
 func (a *Attendant) handleReady(w http.ResponseWriter, _ *http.Request) {
 	if !a.isReady() {
 		w.WriteHeader(http.StatusServiceUnavailable)
--- a/internal/target/executor/crash.go
+++ b/internal/target/executor/crash.go
@@ -290,6 +290,7 @@
 	}
 	e.runs.broken = nil
 	e.runs.crashed = true
+	e.crashedAt = time.Now()
 	if len(sent) == 0 {
 		return nil
 	}
--- a/internal/target/executor/executor.go
+++ b/internal/target/executor/executor.go
@@ -109,6 +109,8 @@
 	// Paced reports whether no request can begin at present because of the limit that the target has named. Limit is
 	// then also bounded by the requests that run at once at that rate.
 	Paced bool
+	// CrashedAt is when the target was last found to have crashed, or zero.
+	CrashedAt time.Time
 }
 
 // Occupied returns the number of slots that other nodes should take for occupied.
@@ -150,6 +152,7 @@
 	failureRateAt    time.Time
 	resendBudget     retrier.TokenBucket
 	runs             runs
+	crashedAt        time.Time
 }
 
 // New returns an executor without a target.
--- a/internal/target/executor/target.go
+++ b/internal/target/executor/target.go
@@ -136,6 +136,7 @@
 		FailureRate: e.decayedFailureRate(now),
 		Up:          e.refusalReason(now, "") == "",
 		Paced:       e.pacer.Available(now) == 0,
+		CrashedAt:   e.crashedAt,
 	}
 }
 
