Decide on a request's rate in less time on large fleets

Change: the conversions are done once, and the reserve of a late node only if it is late. No change of behaviour.

--- a/internal/policy/windowlimiter/windowlimiter.go
+++ b/internal/policy/windowlimiter/windowlimiter.go
@@ -361,9 +361,12 @@
 func (l *Limiter) fleetUsage(now time.Duration, a *account, windowLimit float64) fleetUsage {
 	u := fleetUsage{used: a.admitted() + a.admittedByEnded(now, l.Window), demand: max(a.demand, minDemand)}
 	part := windowLimit / float64(max(l.nodes, 1))
-	unreportedDemand := 0.0
+	unreported, longest := 0.0, l.Window/sliceCount
+	if n := len(l.others); n > 0 {
+		a.report(n - 1)
+	}
 	for i := range l.others {
-		o, r := &l.others[i], a.report(i)
+		o, r := &l.others[i], &a.reports[i]
 		if r.at < o.completeAt && (r.started == o.started || now-r.at >= l.Window) {
 			// The node has used nothing since.
 			*r = report{started: r.started}
@@ -374,21 +377,21 @@
 			}
 			continue
 		}
-		lag := 0.0
-		if o.member {
-			lag = o.lag(now) * part
+		used := r.Admitted
+		if o.member && now-o.heardAt > lagTime {
+			used = max(used, o.lag(now)*part)
 		}
-		u.used += max(r.Admitted, lag)
+		u.used += used
 		u.demand += r.Demand
-		unreportedDemand += r.Demand * min(now-r.at, l.Window/sliceCount).Seconds()
+		unreported += r.Demand * float64(min(now-r.at, longest))
 	}
-	u.unreported = unreportedDemand * min(1, windowLimit/l.Window.Seconds()/u.demand)
+	u.unreported = unreported / float64(time.Second) * min(1, windowLimit/l.Window.Seconds()/u.demand)
 	return u
 }
 
 // lag returns the part of its share of the limit that the node may have used since it was heard, between 0 and 1.
 func (o *other) lag(now time.Duration) float64 {
-	return min(max((now-o.heardAt-lagTime).Seconds()/(silenceTimeout-lagTime).Seconds(), 0), 1)
+	return min(float64(now-o.heardAt-lagTime)/float64(silenceTimeout-lagTime), 1)
 }
 
 // admittedByEnded returns the requests within the window that ended processes may have admitted.
