Let a new version of a target try a quarantined request

What callers lack: a request whose target has been mended is refused for two minutes or more. Change: crashes carry the version that targets announce. A version that has not crashed tries the request, one at a time, and serves it after its first success; a success clears the crashes of its own version only. Evidence: TestMendedVersion (each node gets 200 from the new version, no further crash of the old ones).

--- a/internal/caller/gateway/gateway.go
+++ b/internal/caller/gateway/gateway.go
@@ -119,7 +119,7 @@
 	uri   string
 	// trial is set if only one target at a time may run the request. signature is then its signature.
 	trial     bool
-	signature string
+	signature quarantiner.Signature
 }
 
 // refusal is an answer that the node itself gives instead of a target's answer.
@@ -252,11 +252,11 @@
 		panic(http.ErrAbortHandler)
 	}
 	q.body = body
+	q.service = g.Shedder.ChooseService(q.route)
 	if v := g.checkQuarantine(q); v != nil {
 		g.refuse(q, v)
 		return
 	}
-	q.service = g.Shedder.ChooseService(q.route)
 	answer := g.place(q)
 	defer answer.Release()
 	if q.r.Context().Err() != nil {
@@ -269,24 +269,36 @@
 // checkQuarantine refuses a request that is withheld from all targets.
 func (g *Gateway) checkQuarantine(q *request) *refusal {
 	level := g.level(q)
-	q.trial = level == quarantiner.Trial
-	if level == quarantiner.Quarantined {
+	q.trial = level >= quarantiner.Trial
+	if level == quarantiner.Quarantined && !g.hasTrialTarget(q) {
 		return &refusal{http.StatusServiceUnavailable, executor.ReasonQuarantined, maxRetryAfter}
 	}
 	return nil
 }
 
-// level returns how the request may be run.
+// level returns how the request may be run by a target whose version is not known.
 func (g *Gateway) level(q *request) quarantiner.Level {
 	if g.Isolator == nil || !g.Isolator.Active() {
 		return quarantiner.Free
 	}
-	s := g.job(q, &tracker.Member{}).Signature()
-	level := g.Isolator.Level(s)
-	if level >= quarantiner.Trial {
-		q.signature = s.String()
+	q.signature = g.job(q, &tracker.Member{}).Signature()
+	return g.Isolator.Level(q.signature, "")
+}
+
+// hasTrialTarget reports whether a target of the service has a version that may try the request.
+func (g *Gateway) hasTrialTarget(q *request) bool {
+	for _, c := range g.Tracker.Candidates(nil, time.Now(), q.service, q.route.Name, nil) {
+		if g.mayTry(q, c.Node) {
+			return true
+		}
 	}
-	return level
+	return false
+}
+
+// mayTry reports whether the target beside a node may try the request.
+func (g *Gateway) mayTry(q *request, node string) bool {
+	m, ok := g.Tracker.Member(node)
+	return ok && g.Isolator.Level(q.signature, m.Version) < quarantiner.Quarantined
 }
 
 // place sends the request to one target after another until a target has answered or the request may not be placed
@@ -373,7 +385,7 @@
 	*list = g.Tracker.Candidates((*list)[:0], time.Now(), q.service, q.route.Name, q.tried)
 	i := placer.Choose(*list)
 	if q.trial {
-		i = chooseTrial(q.signature, *list)
+		i = g.chooseTrial(q, *list)
 	}
 	if i < 0 {
 		return tracker.Member{}, false
@@ -383,16 +395,16 @@
 
 // chooseTrial returns the position of the target that tries the request, which is the same on all nodes that know the same
 // targets, or -1 if there is none.
-func chooseTrial(signature string, list []placer.Candidate) int {
+func (g *Gateway) chooseTrial(q *request, list []placer.Candidate) int {
 	var names []string
 	for _, c := range list {
-		if !c.Suspect {
+		if !c.Suspect && g.mayTry(q, c.Node) {
 			names = append(names, c.Node)
 		}
 	}
-	ranked := elector.Rank(signature, names)
+	ranked := elector.Rank(q.signature.String(), names)
 	if len(ranked) == 0 {
-		return placer.Choose(list)
+		return -1
 	}
 	return slices.IndexFunc(list, func(c placer.Candidate) bool { return c.Node == ranked[0] })
 }
@@ -545,8 +557,8 @@
 	if q.account != nil {
 		line = line.Str("client-account", q.account.Name)
 	}
-	if q.signature != "" {
-		line = line.Str("signature", q.signature)
+	if q.trial {
+		line = line.Str("signature", q.signature.String())
 	}
 	if len(q.tried) > 0 {
 		line = line.Strs("tried", q.tried)
--- a/internal/fleet/isolator/isolator.go
+++ b/internal/fleet/isolator/isolator.go
@@ -95,28 +95,31 @@
 // Active reports whether any crash is known. If not, no request is suspect.
 func (i *Isolator) Active() bool { return i.active.Load() }
 
-// Level returns how a request may be run.
-func (i *Isolator) Level(s quarantiner.Signature) quarantiner.Level {
+// Level returns how a target of the given version may run a request.
+func (i *Isolator) Level(s quarantiner.Signature, version string) quarantiner.Level {
 	i.init()
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	return i.table.Level(i.Now(), s)
+	return i.table.Level(i.Now(), s, version)
 }
 
-// Enter reports whether this node's target may run the request now, and whether that is a trial, after which Leave must be
+// Enter reports whether this node's target, which has the given version, may run the request now, and whether that is a trial, after which Leave must be
 // called.
-func (i *Isolator) Enter(s quarantiner.Signature) (ok, trial bool) {
+func (i *Isolator) Enter(s quarantiner.Signature, version string) (ok, trial bool) {
 	if !i.Active() {
 		return true, false
 	}
 	i.init()
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	switch i.table.Level(i.Now(), s) {
+	switch i.table.Level(i.Now(), s, version) {
 	case quarantiner.Quarantined:
 		i.withheld.Inc()
 		return false, false
 	case quarantiner.Trial:
+		if i.memory.Answered(s) {
+			return true, false
+		}
 		if i.trials[s] {
 			return false, false
 		}
@@ -134,14 +137,14 @@
 	delete(i.trials, s)
 }
 
-// Answered records that this node's target has run the request with success.
-func (i *Isolator) Answered(s quarantiner.Signature) {
+// Answered records that this node's target, which has the given version, has run the request with success.
+func (i *Isolator) Answered(s quarantiner.Signature, version string) {
 	i.init()
 	now := i.Now()
 	i.mu.Lock()
 	i.memory.Remember(now, s)
 	var notes []note
-	if changed := i.table.Clear(s); len(changed) > 0 {
+	if changed := i.table.Clear(s, version); len(changed) > 0 {
 		i.tell(now, changed, false)
 		notes = i.compare(now)
 	}
@@ -151,11 +154,11 @@
 
 // RecordCrash records that an incarnation of this node's target has ended while it ran the given requests. Those that the
 // target has lately answered are not suspect, unless it has crashed since while it ran them. It returns the number of the others.
-func (i *Isolator) RecordCrash(incarnation, service string, began []quarantiner.Run) int {
+func (i *Isolator) RecordCrash(of quarantiner.Incarnation, began []quarantiner.Run) int {
 	i.init()
 	i.crashes.Inc()
 	now := i.Now()
-	c := quarantiner.Crash{ID: incarnation, Node: i.Self, Service: service, At: now}
+	c := quarantiner.Crash{Incarnation: of, Node: i.Self, At: now}
 	var ids []string
 	i.mu.Lock()
 	for _, s := range began {
@@ -177,7 +180,7 @@
 	notes := i.compare(now)
 	i.mu.Unlock()
 	if ok, dropped := i.logLimiter.Allow(time.Now()); ok {
-		i.Log.Warn().Str("target", incarnation).Str("service", service).Int("running", len(began)).Int("suspects", len(c.Suspects)).
+		i.Log.Warn().Str("target", of.ID).Str("service", of.Service).Str("version", of.Version).Int("running", len(began)).Int("suspects", len(c.Suspects)).
 			Strs("requests", ids).Int("lines-left-out", dropped).Msg("target crashed")
 	}
 	i.logNotes(notes)
--- a/internal/fleet/isolator/isolator_test.go
+++ b/internal/fleet/isolator/isolator_test.go
@@ -102,7 +102,7 @@
 func (f *fleet) quarantinedAt(s quarantiner.Signature) int {
 	n := 0
 	for _, node := range f.nodes {
-		if node.Level(s) == quarantiner.Quarantined {
+		if node.Level(s, "v1") == quarantiner.Quarantined {
 			n++
 		}
 	}
@@ -114,7 +114,7 @@
 	for _, uri := range uris {
 		began = append(began, quarantiner.Run{Signature: sign(uri)})
 	}
-	f.nodes[i].RecordCrash(fmt.Sprintf("i-%d-%d", i, incarnation), "x", began)
+	f.nodes[i].RecordCrash(quarantiner.Incarnation{ID: fmt.Sprintf("i-%d-%d", i, incarnation), Service: "x", Version: "v1"}, began)
 }
 
 // TestSpread checks that all nodes know of the third crash within half of the time that they have, although a third of the
@@ -163,7 +163,7 @@
 	f.store = map[string][]byte{}
 	f.run(6 * time.Second)
 	assert.Equal(t, len(f.store), 1, "a record that the store has lost is written again")
-	f.nodes[3].Answered(sign("/bad"))
+	f.nodes[3].Answered(sign("/bad"), "v1")
 	f.run(6 * time.Second)
 	assert.Equal(t, f.quarantinedAt(sign("/bad")), 0)
 	for key, value := range f.store {
@@ -176,7 +176,7 @@
 func TestAnsweredRequestTurnsBad(t *testing.T) {
 	f := newFleet(1, 3, 0)
 	for i := range 3 {
-		f.nodes[i].Answered(sign("/turns"))
+		f.nodes[i].Answered(sign("/turns"), "v1")
 		f.crash(i, 1, "/turns")
 	}
 	f.run(time.Second)
@@ -192,18 +192,18 @@
 func TestTrials(t *testing.T) {
 	f := newFleet(1, 2, 0)
 	f.crash(0, 1, "/bad")
-	ok, trial := f.nodes[0].Enter(sign("/bad"))
+	ok, trial := f.nodes[0].Enter(sign("/bad"), "v1")
 	assert.Assert(t, ok && !trial)
 	f.crash(0, 2, "/bad")
-	ok, trial = f.nodes[0].Enter(sign("/bad"))
+	ok, trial = f.nodes[0].Enter(sign("/bad"), "v1")
 	assert.Assert(t, ok && trial)
-	ok, _ = f.nodes[0].Enter(sign("/bad"))
+	ok, _ = f.nodes[0].Enter(sign("/bad"), "v1")
 	assert.Assert(t, !ok)
 	f.nodes[0].Leave(sign("/bad"))
-	ok, _ = f.nodes[0].Enter(sign("/bad"))
+	ok, _ = f.nodes[0].Enter(sign("/bad"), "v1")
 	assert.Assert(t, ok)
 	f.crash(0, 3, "/bad")
-	ok, _ = f.nodes[0].Enter(sign("/bad"))
+	ok, _ = f.nodes[0].Enter(sign("/bad"), "v1")
 	assert.Assert(t, !ok)
 }
 
@@ -231,7 +231,7 @@
 					end(f.rng.IntN(n))
 				}
 				if f.rng.IntN(5) == 0 {
-					if i := f.rng.IntN(n); f.nodes[i].Level(sign("/bad")) < quarantiner.Quarantined {
+					if i := f.rng.IntN(n); f.nodes[i].Level(sign("/bad"), "v1") < quarantiner.Quarantined {
 						end(i, "/bad")
 						bad++
 						ended = append(ended, f.now)
@@ -243,11 +243,11 @@
 				for range 40 {
 					i, s := f.rng.IntN(n), sign(f.popular())
 					offered++
-					if f.nodes[i].Level(s) == quarantiner.Quarantined {
+					if f.nodes[i].Level(s, "v1") == quarantiner.Quarantined {
 						withheld++
 						continue
 					}
-					f.nodes[i].Answered(s)
+					f.nodes[i].Answered(s, "v1")
 				}
 			}
 		}
--- a/internal/fleet/isolator/message.go
+++ b/internal/fleet/isolator/message.go
@@ -27,6 +27,7 @@
 	ID      string
 	Node    string
 	Service string
+	Version string
 	AgeMs   int64
 	// Suspects and Cleared hold signatures, one after the other.
 	Suspects []byte `msg:",allownil"`
@@ -41,7 +42,7 @@
 
 // newRecord returns the record of a crash.
 func newRecord(now time.Duration, c *quarantiner.Crash) crashRecord {
-	r := crashRecord{ID: c.ID, Node: c.Node, Service: c.Service, AgeMs: (now - c.At).Milliseconds()}
+	r := crashRecord{ID: c.ID, Node: c.Node, Service: c.Service, Version: c.Version, AgeMs: (now - c.At).Milliseconds()}
 	for _, v := range c.Suspects {
 		if v.Cleared {
 			r.Cleared = append(r.Cleared, v.Signature[:]...)
@@ -56,13 +57,13 @@
 func (r *crashRecord) crash(now time.Duration) (quarantiner.Crash, bool) {
 	size := len(quarantiner.Signature{})
 	age := time.Duration(r.AgeMs) * time.Millisecond
-	valid := r.ID != "" && len(r.ID) <= maxIDBytes && len(r.Node) <= maxIDBytes && len(r.Service) <= maxIDBytes &&
+	valid := r.ID != "" && len(r.ID) <= maxIDBytes && len(r.Node) <= maxIDBytes && len(r.Service) <= maxIDBytes && len(r.Version) <= maxIDBytes &&
 		r.AgeMs >= 0 && r.AgeMs <= maxAge.Milliseconds() &&
 		len(r.Suspects)%size == 0 && len(r.Cleared)%size == 0 && len(r.Suspects)+len(r.Cleared) <= size*quarantiner.MaxSuspects
 	if !valid {
 		return quarantiner.Crash{}, false
 	}
-	c := quarantiner.Crash{ID: r.ID, Node: r.Node, Service: r.Service, At: now - age}
+	c := quarantiner.Crash{Incarnation: quarantiner.Incarnation{ID: r.ID, Service: r.Service, Version: r.Version}, Node: r.Node, At: now - age}
 	for cleared, list := range map[bool][]byte{false: r.Suspects, true: r.Cleared} {
 		for ; len(list) > 0; list = list[size:] {
 			c.Suspects = append(c.Suspects, quarantiner.Verdict{Signature: quarantiner.Signature(list[:size]), Cleared: cleared})
--- a/internal/fleet/isolator/message_gen.go
+++ b/internal/fleet/isolator/message_gen.go
@@ -15,11 +15,12 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *crashRecord) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 6
-	o = append(o, 0x96)
+	// array header, size 7
+	o = append(o, 0x97)
 	o = msgp.AppendString(o, z.ID)
 	o = msgp.AppendString(o, z.Node)
 	o = msgp.AppendString(o, z.Service)
+	o = msgp.AppendString(o, z.Version)
 	o = msgp.AppendInt64(o, z.AgeMs)
 	if z.Suspects == nil { // allownil: if nil
 		o = msgp.AppendNil(o)
@@ -42,8 +43,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 6 {
-		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
+	if zb0001 != 7 {
+		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
 		return
 	}
 	z.ID, bts, err = msgp.ReadStringBytes(bts)
@@ -61,6 +62,11 @@
 		err = msgp.WrapError(err, "Service")
 		return
 	}
+	z.Version, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Version")
+		return
+	}
 	z.AgeMs, bts, err = msgp.ReadInt64Bytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "AgeMs")
@@ -124,7 +130,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *crashRecord) Msgsize() (s int) {
-	s = 1 + msgp.StringPrefixSize + len(z.ID) + msgp.StringPrefixSize + len(z.Node) + msgp.StringPrefixSize + len(z.Service) + msgp.Int64Size + msgp.BytesPrefixSize + len(z.Suspects) + msgp.BytesPrefixSize + len(z.Cleared)
+	s = 1 + msgp.StringPrefixSize + len(z.ID) + msgp.StringPrefixSize + len(z.Node) + msgp.StringPrefixSize + len(z.Service) + msgp.StringPrefixSize + len(z.Version) + msgp.Int64Size + msgp.BytesPrefixSize + len(z.Suspects) + msgp.BytesPrefixSize + len(z.Cleared)
 	return
 }
 
--- a/internal/fleet/isolator/store.go
+++ b/internal/fleet/isolator/store.go
@@ -31,6 +31,7 @@
 	ID      string `json:"id"`
 	Node    string `json:"node"`
 	Service string `json:"service"`
+	Version string `json:"version,omitempty"`
 	// AtMs is in milliseconds since the Unix epoch.
 	AtMs int64 `json:"at-ms"`
 }
@@ -61,7 +62,8 @@
 		}
 		age := max(wall.Sub(time.UnixMilli(c.AtMs)), 0)
 		crashes = append(crashes, quarantiner.Crash{
-			ID: c.ID, Node: c.Node, Service: c.Service, At: now - age, Suspects: []quarantiner.Verdict{{Signature: s}},
+			Incarnation: quarantiner.Incarnation{ID: c.ID, Service: c.Service, Version: c.Version}, Node: c.Node, At: now - age,
+			Suspects: []quarantiner.Verdict{{Signature: s}},
 		})
 	}
 	i.mu.Lock()
@@ -102,7 +104,7 @@
 		}
 		var r storedRecord
 		for _, c := range e.Crashes {
-			r.Crashes = append(r.Crashes, storedCrash{ID: c.ID, Node: c.Node, Service: c.Service, AtMs: wall.Add(c.At - now).UnixMilli()})
+			r.Crashes = append(r.Crashes, storedCrash{ID: c.ID, Node: c.Node, Service: c.Service, Version: c.Version, AtMs: wall.Add(c.At - now).UnixMilli()})
 		}
 		if raw, err := json.Marshal(r); err == nil {
 			records = append(records, Record{Key: KeyPrefix + e.Signature.String(), Value: raw})
--- a/internal/fleet/tracker/tracker.go
+++ b/internal/fleet/tracker/tracker.go
@@ -42,6 +42,8 @@
 	WarmUpEndMs int64 `json:"warm-at"`
 	// TakesBatches tells that the node understands several reports in one datagram.
 	TakesBatches bool `json:"takes-batches,omitempty"`
+	// Version is the version of the target's software, if known.
+	Version string `json:"version,omitempty"`
 }
 
 const (
--- a/internal/node/attendant/attendant_test.go
+++ b/internal/node/attendant/attendant_test.go
@@ -100,7 +100,7 @@
 func (f *fleet) announce(i, sequence int, state string) {
 	f.t.Helper()
 	cfg := &f.nodes[i].Settings
-	body := fmt.Sprintf(`{"service":"x","address":%q,"zone":"dc","concurrency":20,"state":%q,"warmup_ms":0,"sequence":%d,"born":1}`, cfg.TargetAddress, state, sequence)
+	body := fmt.Sprintf(`{"service":"x","address":%q,"zone":"dc","version":"v1","concurrency":20,"state":%q,"warmup_ms":0,"sequence":%d,"born":1}`, cfg.TargetAddress, state, sequence)
 	req, err := http.NewRequest(http.MethodPut, "http://"+cfg.AnnounceListen+platform.AnnouncePath+fmt.Sprint("i-", i), strings.NewReader(body))
 	assert.NilError(f.t, err)
 	resp, err := http.DefaultClient.Do(req)
--- a/internal/node/attendant/crash_test.go
+++ b/internal/node/attendant/crash_test.go
@@ -33,13 +33,16 @@
 	// down is the time after which a target is back.
 	down time.Duration
 	wg   sync.WaitGroup
-	// born holds the number of the latest incarnation of each target.
-	born []int
+	// born holds the number of the latest incarnation of each target, and started that of those started so far.
+	born    []int
+	started int
+	// version is the version of the next incarnations. Those of later ones than v1 do not crash.
+	version string
 }
 
 func newCrashes(f *fleet, down time.Duration) *crashes {
 	f.store.Put(platform.ConfigTopic, platform.ConfigKey, fmt.Appendf(nil, lookupConfig, 2))
-	c := &crashes{f: f, down: down, born: make([]int, len(f.targets))}
+	c := &crashes{f: f, down: down, born: make([]int, len(f.targets)), version: "v1"}
 	for i := range f.targets {
 		c.arm(i, f.targets[i])
 	}
@@ -65,14 +68,17 @@
 	target.Close()
 	time.Sleep(c.down)
 	next := &responder.Responder{ServiceTime: c.f.serviceTime}
-	c.arm(i, next)
+	if c.version == "v1" {
+		c.arm(i, next)
+	}
 	if _, err := next.OpenAt(c.f.nodes[i].Settings.TargetAddress); err != nil {
 		c.f.t.Error(err)
 		return
 	}
 	c.mu.Lock()
 	c.f.targets[i] = next
-	c.born[i] = len(c.at) + 1
+	c.started++
+	c.born[i] = c.started + 1
 	c.mu.Unlock()
 	c.announce(i, 1)
 }
@@ -83,7 +89,7 @@
 	born := c.born[i]
 	c.mu.Unlock()
 	cfg := &c.f.nodes[i].Settings
-	body := fmt.Sprintf(`{"service":"x","address":%q,"zone":"dc","concurrency":20,"state":"ready","warmup_ms":0,"sequence":%d,"born":%d}`, cfg.TargetAddress, sequence, born)
+	body := fmt.Sprintf(`{"service":"x","address":%q,"zone":"dc","version":%q,"concurrency":20,"state":"ready","warmup_ms":0,"sequence":%d,"born":%d}`, cfg.TargetAddress, c.version, sequence, born)
 	req, err := http.NewRequest(http.MethodPut, "http://"+cfg.AnnounceListen+platform.AnnouncePath+fmt.Sprintf("i-%d-%d", i, born), strings.NewReader(body))
 	if err != nil {
 		c.f.t.Error(err)
--- a/internal/node/attendant/quarantine_test.go
+++ b/internal/node/attendant/quarantine_test.go
@@ -82,3 +82,24 @@
 	c.quarantine(4)
 	assert.Assert(t, len(c.times()) <= 4, "%d crashes", len(c.times()))
 }
+
+// TestMendedVersion checks that a target of a new version serves a quarantined request, while those of the old one, which it
+// would crash, do not get it.
+func TestMendedVersion(t *testing.T) {
+	f := newFleet(t, 3)
+	c := newCrashes(f, 200*time.Millisecond)
+	c.quarantine(3)
+	time.Sleep(500 * time.Millisecond)
+	before := len(c.times())
+	c.version = "v2"
+	c.restart(1, f.targets[1])
+	for i := range f.nodes {
+		f.eventually("served", func() bool { return f.get(i, crashingPath, "outbound") == 200 })
+	}
+	for range 20 {
+		for i := range f.nodes {
+			assert.Equal(t, f.get(i, crashingPath, "outbound"), 200)
+		}
+	}
+	assert.Equal(t, len(c.times()), before)
+}
--- a/internal/node/attendant/report.go
+++ b/internal/node/attendant/report.go
@@ -197,6 +197,7 @@
 		Target:         t.ID,
 		StartedAtMs:    t.StartedAtMs,
 		Slots:          t.Slots,
+		Version:        t.Version,
 		State:          tracker.Ready,
 		WarmUpEndMs:    t.WarmUpEnd.UnixMilli(),
 		TakesBatches:   true,
--- a/internal/node/attendant/server.go
+++ b/internal/node/attendant/server.go
@@ -137,6 +137,7 @@
 	Target  string    `json:"target"`
 	Node    string    `json:"node"`
 	Service string    `json:"service"`
+	Version string    `json:"version,omitempty"`
 	At      time.Time `json:"at"`
 }
 
@@ -147,7 +148,7 @@
 	for _, e := range a.isolator.Entries() {
 		q := quarantinedRequest{Signature: e.Signature.String()}
 		for _, c := range e.Crashes {
-			q.Crashes = append(q.Crashes, describedCrash{Target: c.ID, Node: c.Node, Service: c.Service, At: wall.Add(c.At - now)})
+			q.Crashes = append(q.Crashes, describedCrash{Target: c.ID, Node: c.Node, Service: c.Service, Version: c.Version, At: wall.Add(c.At - now)})
 		}
 		list = append(list, q)
 	}
--- a/internal/policy/quarantiner/quarantiner.go
+++ b/internal/policy/quarantiner/quarantiner.go
@@ -1,7 +1,7 @@
 // Package quarantiner decides which requests are withheld from targets, because targets have crashed while they ran them.
 //
-// The node beside a target that has crashed names the requests that had begun there. Most of them are innocent. A whole
-// answer of a target that ran a request clears it of all crashes that are known then. A request that no answer clears is
+// The node beside a target that has crashed names the requests that had begun there. Most of them are innocent. A success
+// of a target that ran a request clears it of all crashes of that version that are known then. A request that no success clears is
 // withheld after its third crash, and tried by one target at a time before that and some time after.
 //
 // Crashes and clearances only accumulate until they expire, so that nodes can exchange what they know in any order and as
@@ -48,10 +48,16 @@
 	Quarantined
 )
 
+// Incarnation is one start of a target. Version is the version of its software, if known.
+type Incarnation struct {
+	ID, Service, Version string
+}
+
 // Crash is the end of an incarnation of a target while it ran requests.
 type Crash struct {
-	// ID identifies the incarnation, and Node the node beside it.
-	ID, Node, Service string
+	Incarnation
+	// Node is the node beside the target.
+	Node string
 	// At is when the node noticed the crash.
 	At       time.Duration
 	Suspects []Verdict
@@ -89,8 +95,9 @@
 // Empty reports whether no crash is known.
 func (t *Table) Empty() bool { return len(t.crashes) == 0 }
 
-// Level returns how a request may be run now.
-func (t *Table) Level(now time.Duration, s Signature) Level {
+// Level returns how a target of the given version may run a request now. A version that has not crashed yet may have been
+// mended, so it may try the request.
+func (t *Table) Level(now time.Duration, s Signature, version string) Level {
 	crashes := t.bySignature[s]
 	n := len(crashes)
 	if n < quarantineCrashes {
@@ -101,7 +108,7 @@
 		return Free
 	case n < trialCrashes:
 		return Suspect
-	case n < quarantineCrashes || now-latest(crashes) >= hold(n):
+	case n < quarantineCrashes || now-latest(crashes) >= hold(n) || isNew(version, crashes):
 		return Trial
 	default:
 		return Quarantined
@@ -119,6 +126,11 @@
 	return n
 }
 
+// isNew reports whether the version is known not to be among those that have crashed.
+func isNew(version string, crashes []*Crash) bool {
+	return version != "" && !slices.ContainsFunc(crashes, func(c *Crash) bool { return c.Version == version || c.Version == "" })
+}
+
 // hold returns how long a request is withheld after its latest crash.
 func hold(crashes int) time.Duration {
 	return min(firstHold<<min(crashes-quarantineCrashes, 10), maxHold)
@@ -141,7 +153,7 @@
 		}
 		e := Entry{Signature: s}
 		for _, c := range crashes {
-			e.Crashes = append(e.Crashes, Crash{ID: c.ID, Node: c.Node, Service: c.Service, At: c.At})
+			e.Crashes = append(e.Crashes, Crash{Incarnation: c.Incarnation, Node: c.Node, At: c.At})
 		}
 		slices.SortFunc(e.Crashes, byTime)
 		entries = append(entries, e)
@@ -177,7 +189,7 @@
 		if t.crashes == nil {
 			t.crashes, t.bySignature = map[string]*Crash{}, map[Signature][]*Crash{}
 		}
-		known = &Crash{ID: c.ID, Node: c.Node, Service: c.Service, At: c.At}
+		known = &Crash{Incarnation: c.Incarnation, Node: c.Node, At: c.At}
 		t.crashes[c.ID] = known
 	}
 	changed := false
@@ -218,10 +230,13 @@
 	t.bySignature[s] = rest
 }
 
-// Clear records that a target has run the request and answered it whole. It returns the IDs of the crashes that the request
-// is thereby cleared of.
-func (t *Table) Clear(s Signature) (changed []string) {
+// Clear records that a target of the given version has run the request with success. It returns the IDs of the crashes that
+// the request is thereby cleared of: those of the same version, since another one may still crash.
+func (t *Table) Clear(s Signature, version string) (changed []string) {
 	for _, c := range slices.Clone(t.bySignature[s]) {
+		if version != "" && c.Version != "" && c.Version != version {
+			continue
+		}
 		t.mergeVerdict(c, Verdict{Signature: s, Cleared: true})
 		changed = append(changed, c.ID)
 	}
--- a/internal/policy/quarantiner/quarantiner_test.go
+++ b/internal/policy/quarantiner/quarantiner_test.go
@@ -15,7 +15,7 @@
 }
 
 func crash(id string, at time.Duration, uris ...string) quarantiner.Crash {
-	c := quarantiner.Crash{ID: id, Node: "vm-" + id, Service: "x", At: at}
+	c := quarantiner.Crash{Incarnation: quarantiner.Incarnation{ID: id, Service: "x", Version: "v1"}, Node: "vm-" + id, At: at}
 	for _, uri := range uris {
 		c.Suspects = append(c.Suspects, quarantiner.Verdict{Signature: sign(uri)})
 	}
@@ -55,18 +55,20 @@
 	s := sign("/bad")
 	for i, level := range []quarantiner.Level{quarantiner.Suspect, quarantiner.Trial, quarantiner.Quarantined} {
 		table.Merge(now, []quarantiner.Crash{crash(fmt.Sprint(i), now, "/bad", fmt.Sprint("/other/", i))})
-		assert.Equal(t, table.Level(now, s), level)
+		assert.Equal(t, table.Level(now, s, "v1"), level)
 		now += time.Second
 	}
-	assert.Equal(t, table.Level(now, sign("/other/1")), quarantiner.Suspect)
+	assert.Equal(t, table.Level(now, sign("/other/1"), "v1"), quarantiner.Suspect)
+	assert.Equal(t, table.Level(now, s, "v2"), quarantiner.Trial, "a version that may have been mended")
+	assert.Equal(t, table.Level(now, s, ""), quarantiner.Quarantined)
 	assert.Equal(t, len(table.Quarantined()), 1)
 	now += 2 * time.Minute
 	table.Expire(now)
-	assert.Equal(t, table.Level(now, s), quarantiner.Trial)
-	assert.Equal(t, table.Level(now, sign("/other/1")), quarantiner.Free)
+	assert.Equal(t, table.Level(now, s, "v1"), quarantiner.Trial)
+	assert.Equal(t, table.Level(now, sign("/other/1"), "v1"), quarantiner.Free)
 	table.Merge(now, []quarantiner.Crash{crash("trial", now, "/bad")})
-	assert.Equal(t, table.Level(now+3*time.Minute, s), quarantiner.Quarantined)
-	assert.Equal(t, table.Level(now+4*time.Minute, s), quarantiner.Trial)
+	assert.Equal(t, table.Level(now+3*time.Minute, s, "v1"), quarantiner.Quarantined)
+	assert.Equal(t, table.Level(now+4*time.Minute, s, "v1"), quarantiner.Trial)
 	table.Expire(now + 3*time.Hour)
 	assert.Assert(t, table.Empty())
 }
@@ -79,11 +81,12 @@
 	s := sign("/popular")
 	late := []quarantiner.Crash{crash("0", now, "/popular"), crash("1", now, "/popular")}
 	table.Merge(now, late)
-	assert.Equal(t, len(table.Clear(s)), 2)
-	assert.Equal(t, table.Level(now, s), quarantiner.Free)
+	assert.Equal(t, len(table.Clear(s, "v2")), 0)
+	assert.Equal(t, len(table.Clear(s, "v1")), 2)
+	assert.Equal(t, table.Level(now, s, "v1"), quarantiner.Free)
 	assert.Equal(t, len(table.Merge(now, late)), 0)
 	table.Merge(now, []quarantiner.Crash{crash("2", now, "/popular")})
-	assert.Equal(t, table.Level(now, s), quarantiner.Suspect)
+	assert.Equal(t, table.Level(now, s, "v1"), quarantiner.Suspect)
 }
 
 // TestManyBodies guards against a client whose many different requests through crashing targets push the real one out.
@@ -101,7 +104,7 @@
 		}
 		table.Merge(now, []quarantiner.Crash{c})
 	}
-	assert.Equal(t, table.Level(now, sign("/bad")), quarantiner.Quarantined)
+	assert.Equal(t, table.Level(now, sign("/bad"), "v1"), quarantiner.Quarantined)
 	assert.Assert(t, len(table.IDs()) <= 256)
 	c := crash("too many", now)
 	c.Suspects = make([]quarantiner.Verdict, quarantiner.MaxSuspects+1)
@@ -131,7 +134,7 @@
 		}
 		assert.Equal(t, a.Digest(), b.Digest())
 		for j := range 6 {
-			assert.Equal(t, a.Level(now, sign(fmt.Sprint(j))), b.Level(now, sign(fmt.Sprint(j))))
+			assert.Equal(t, a.Level(now, sign(fmt.Sprint(j)), "v1"), b.Level(now, sign(fmt.Sprint(j)), "v1"))
 		}
 		var c quarantiner.Table
 		for _, id := range a.IDs() {
--- a/internal/target/executor/crash.go
+++ b/internal/target/executor/crash.go
@@ -31,14 +31,15 @@
 
 // Guard withholds requests that crash targets.
 type Guard interface {
-	// Enter reports whether the target may run the request now, and whether that is a trial, after which Leave is called.
-	Enter(s quarantiner.Signature) (ok, trial bool)
+	// Enter reports whether the target, which has the given version, may run the request now, and whether that is a trial,
+	// after which Leave is called.
+	Enter(s quarantiner.Signature, version string) (ok, trial bool)
 	Leave(s quarantiner.Signature)
-	// Answered records that the target has run the request with success.
-	Answered(s quarantiner.Signature)
+	// Answered records that the target, which has the given version, has run the request with success.
+	Answered(s quarantiner.Signature, version string)
 	// RecordCrash records that an incarnation of the target has ended while it ran the requests. It returns the number of
 	// those that are suspect.
-	RecordCrash(incarnation, service string, began []quarantiner.Run) int
+	RecordCrash(of quarantiner.Incarnation, began []quarantiner.Run) int
 }
 
 // Signature identifies the requests that are the same to a target.
@@ -63,7 +64,7 @@
 		return func() {}, true
 	}
 	s := job.Signature()
-	ok, trial := e.Guard.Enter(s)
+	ok, trial := e.Guard.Enter(s, e.Target().Version)
 	if !trial {
 		return func() {}, ok
 	}
@@ -95,8 +96,8 @@
 
 // crash is the end of an incarnation.
 type crash struct {
-	incarnation, service string
-	began                []quarantiner.Run
+	of    quarantiner.Incarnation
+	began []quarantiner.Run
 }
 
 func (r *runs) reset() { *r = runs{} }
@@ -130,7 +131,7 @@
 		return e.endLostRun(sent, target, transporter.ErrNoAnswer, a)
 	}
 	if a.Body.Stream == nil {
-		e.endAnswered(sent, a)
+		e.endAnswered(sent, target, a)
 		return a
 	}
 	body := &countedBody{Reader: a.Body.Stream}
@@ -139,7 +140,7 @@
 	a.Close = func() {
 		closeBody()
 		if body.ended {
-			e.endAnswered(sent, a)
+			e.endAnswered(sent, target, a)
 			return
 		}
 		e.forget(sent)
@@ -160,7 +161,7 @@
 }
 
 // endAnswered records that a run has ended with a whole answer.
-func (e *Executor) endAnswered(sent *sentRun, a *transporter.Answer) {
+func (e *Executor) endAnswered(sent *sentRun, target *Target, a *transporter.Answer) {
 	e.mu.Lock()
 	delete(e.runs.running, sent)
 	if sent.incarnation == e.target.incarnation() {
@@ -169,7 +170,7 @@
 	e.mu.Unlock()
 	// A target that fails may answer without having run the request.
 	if !a.NotRun && a.Status >= http.StatusOK && a.Status < http.StatusMultipleChoices {
-		e.Guard.Answered(sent.signature)
+		e.Guard.Answered(sent.signature, target.Version)
 	}
 }
 
@@ -296,9 +297,9 @@
 	}
 	// The latest are most likely to have caused the crash.
 	slices.SortFunc(sent, func(a, b *sentRun) int { return cmp.Compare(b.began.UnixNano(), a.began.UnixNano()) })
-	c := &crash{incarnation: target.incarnation(), service: target.Service}
+	c := &crash{of: quarantiner.Incarnation{ID: target.incarnation(), Service: target.Service, Version: target.Version}}
 	for _, r := range sent {
-		if r.incarnation == c.incarnation {
+		if r.incarnation == c.of.ID {
 			c.began = append(c.began, quarantiner.Run{Signature: r.signature, RequestID: r.requestID})
 		}
 	}
@@ -310,10 +311,10 @@
 	if c == nil || e.Guard == nil {
 		return
 	}
-	suspects := e.Guard.RecordCrash(c.incarnation, c.service, c.began)
+	suspects := e.Guard.RecordCrash(c.of, c.began)
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if c.incarnation == e.target.incarnation() {
+	if c.of.ID == e.target.incarnation() {
 		e.runs.suspects = suspects
 	}
 }
--- a/internal/target/executor/crash_test.go
+++ b/internal/target/executor/crash_test.go
@@ -25,7 +25,7 @@
 	left     int
 }
 
-func (g *guard) Enter(quarantiner.Signature) (ok, trial bool) {
+func (g *guard) Enter(quarantiner.Signature, string) (ok, trial bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return !g.withheld, !g.withheld
@@ -37,13 +37,13 @@
 	g.left++
 }
 
-func (g *guard) Answered(quarantiner.Signature) {
+func (g *guard) Answered(quarantiner.Signature, string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.answered++
 }
 
-func (g *guard) RecordCrash(_, _ string, began []quarantiner.Run) int {
+func (g *guard) RecordCrash(_ quarantiner.Incarnation, began []quarantiner.Run) int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	var ids []string
--- a/internal/target/executor/target.go
+++ b/internal/target/executor/target.go
@@ -12,6 +12,8 @@
 type Target struct {
 	ID      string
 	Service string
+	// Version is the version of the target's software, if known.
+	Version string
 	Address string
 	// StartedAtMs is the start time of the incarnation in milliseconds since the Unix epoch.
 	StartedAtMs int64
@@ -39,7 +41,7 @@
 	old := e.target
 	newIncarnation := old.ID != a.ID || old.StartedAtMs != a.StartedAtMs
 	e.target = Target{
-		ID: a.ID, Service: a.Service, Address: a.Address, StartedAtMs: a.StartedAtMs, Sequence: a.Sequence, Slots: a.Slots,
+		ID: a.ID, Service: a.Service, Version: a.Version, Address: a.Address, StartedAtMs: a.StartedAtMs, Sequence: a.Sequence, Slots: a.Slots,
 		// A target that has announced draining does not return to service in the same incarnation.
 		Draining:  a.Draining || (!newIncarnation && old.Draining),
 		Gone:      !newIncarnation && old.Gone,
@@ -57,7 +59,7 @@
 	e.refuseWaitingIfLeaving(now)
 	e.startWaiting(now)
 	t := e.target
-	changed = newIncarnation || old.Draining != t.Draining || old.Gone != t.Gone || old.Slots != t.Slots || old.Service != t.Service
+	changed = newIncarnation || old.Draining != t.Draining || old.Gone != t.Gone || old.Slots != t.Slots || old.Service != t.Service || old.Version != t.Version
 	return changed, true
 }
 
