Save no more than the rate in the first window of a node

Cause, suspected: what the lost nodes had admitted is unknown to the new ones, which therefore admit at the rate without the burst in their first window; since nodes save at least half of an equal share, these parts sum up to more than the rate. That a loss of all nodes right after the start of a flood may hold both bursts is a known limit of the design, and not removed by this. Change: the minimum share applies only after the first window.

--- a/internal/fleet/isolator/message_gen.go
+++ b/internal/fleet/isolator/message_gen.go
@@ -199,7 +199,7 @@
 			return
 		}
 		if z.Crashes != nil && cap(z.Crashes) >= int(zb0002) {
-			z.Crashes = (z.Crashes)[:zb0002]
+			z.Crashes = z.Crashes[:zb0002]
 		} else {
 			z.Crashes = make([]crashRecord, zb0002)
 		}
--- a/internal/policy/windowlimiter/windowlimiter.go
+++ b/internal/policy/windowlimiter/windowlimiter.go
@@ -312,8 +312,11 @@
 		rate = limit.Rate * heardShare
 	}
 	share := l.demandShare(now, a, u.demand)
-	// Between two requests of an account with few, its demand here is underestimated.
-	savedShare := max(share, minShare/float64(max(l.heard, 1)))
+	savedShare := share
+	if historyComplete {
+		// Between two requests of an account with few, its demand here is underestimated.
+		savedShare = max(share, minShare/float64(max(l.heard, 1)))
+	}
 	a.refill(now, rate*savedShare, rate*share, heardShare)
 	rate *= savedShare
 	unthrottled := historyComplete && u.used+u.unreported+1 <= unthrottledShare*available+unthrottledExtra*heardShare
