Test what mutations of the new code did not break

Survived: a crashed request repeated by nodes, a silent node heard before its use is known, reports of ended processes dropped by the first complete report of the next process, and news not passed on by nodes that learn it. The first three are found now (a case of TestAnswers, TestSilentNodeHeardAgain, TestEndedProcessCounts). The fourth is not: the comparison of digests alone is fast enough in TestNewsOfEndedNode.

--- a/internal/caller/gateway/gateway_test.go
+++ b/internal/caller/gateway/gateway_test.go
@@ -121,7 +121,7 @@
 func TestAnswers(t *testing.T) {
 	full, noTarget := transporter.NotRunAnswer(executor.ReasonQueueFull), transporter.NotRunAnswer(executor.ReasonNoTarget)
 	shed, lost := transporter.NotRunAnswer(executor.ReasonTargetShed), transporter.UnknownAnswer(executor.ReasonConnectionBroken)
-	late := transporter.UnknownAnswer(executor.ReasonAnswerTimeout)
+	late, crashed := transporter.UnknownAnswer(executor.ReasonAnswerTimeout), transporter.UnknownAnswer(executor.ReasonTargetCrashed)
 	for _, c := range []struct {
 		name    string
 		path    string
@@ -138,6 +138,7 @@
 		{"idempotent and lost, another runs it", "/read/1", []*transporter.Answer{lost, ok()}, 200, 2},
 		{"idempotent and lost, one target allowed", "/once/1", []*transporter.Answer{lost, ok()}, 502, 1},
 		{"idempotent and lost, all others refuse", "/read/1", []*transporter.Answer{lost, full}, 502, 4},
+		{"idempotent, has crashed its target", "/read/1", []*transporter.Answer{crashed, ok()}, 502, 1},
 		{"order lost", "/order/1", []*transporter.Answer{lost, ok()}, 502, 1},
 		{"order late", "/order/1", []*transporter.Answer{late, ok()}, 504, 1},
 		{"order shed, then lost", "/order/1", []*transporter.Answer{shed, lost, ok()}, 502, 2},
@@ -153,7 +154,7 @@
 			if w.Code != 200 && w.Header().Get(platform.SignatureHeader) != "" {
 				assert.Equal(t, f.sender.answers[0].Status, w.Code, "signature of the target on another status")
 			}
-			if w.Code == 503 && !strings.HasPrefix(c.name, "read") {
+			if w.Code == 503 && !strings.HasPrefix(c.name, "read") || strings.HasSuffix(c.name, "crashed its target") {
 				assert.Assert(t, w.Header().Get(platform.RetryAfterHeader) != "")
 			}
 		})
--- a/internal/fleet/isolator/isolator_test.go
+++ b/internal/fleet/isolator/isolator_test.go
@@ -188,6 +188,24 @@
 	assert.Equal(t, f.quarantinedAt(sign("/turns")), 3)
 }
 
+// TestNewsOfEndedNode checks that a crash is passed on by the nodes that have heard of it, within the time that they have,
+// although the node that noticed it ends after its first messages, most of which are lost.
+func TestNewsOfEndedNode(t *testing.T) {
+	for seed := range uint64(20) {
+		f := newFleet(seed, 40, 0.8)
+		for i := range 3 {
+			f.crash(i, 1, "/bad")
+		}
+		f.step()
+		f.loss = 0
+		for i := range 3 {
+			f.start(i)
+		}
+		f.run(1200 * time.Millisecond)
+		assert.Equal(t, f.quarantinedAt(sign("/bad")), 40, "seed %d", seed)
+	}
+}
+
 // TestTrials checks that only one request at a time is tried by a target after two crashes.
 func TestTrials(t *testing.T) {
 	f := newFleet(1, 2, 0)
--- a/internal/policy/windowlimiter/windowlimiter_test.go
+++ b/internal/policy/windowlimiter/windowlimiter_test.go
@@ -368,3 +368,29 @@
 		n.Count(now+time.Duration(i)*20*time.Millisecond, "shop")
 	}
 }
+
+// TestSilentNodeHeardAgain guards against a node that is taken for heard before its use is known.
+func TestSilentNodeHeardAgain(t *testing.T) {
+	n := windowlimiter.Limiter{Window: window}
+	now, from := time.Hour, windowlimiter.Process{Node: "other", Started: 1}
+	assert.Equal(t, n.SetMembers(now, []string{"other"}), 0)
+	now += 3 * time.Second
+	assert.Equal(t, n.SetMembers(now, []string{"other"}), 1)
+	n.Receive(now, from, nil, false)
+	assert.Equal(t, n.SetMembers(now, []string{"other"}), 1)
+	n.Receive(now, from, nil, true)
+	assert.Equal(t, n.SetMembers(now, []string{"other"}), 0)
+}
+
+// TestEndedProcessCounts guards against a new process whose first report of all accounts drops what the ended one has
+// admitted within the window.
+func TestEndedProcessCounts(t *testing.T) {
+	n := windowlimiter.Limiter{Window: window}
+	now := time.Hour
+	n.SetMembers(now, []string{"other"})
+	n.Receive(now, windowlimiter.Process{Node: "other", Started: 1}, map[string]windowlimiter.Usage{"shop": {Admitted: 120 * 6, Demand: 900}}, true)
+	now += time.Second
+	n.Receive(now, windowlimiter.Process{Node: "other", Started: 2}, nil, true)
+	ok, _ := n.Admit(now, "shop", shop)
+	assert.Assert(t, !ok, "the whole window is used")
+}
