Guard shared state of the crash tests

Only the fixture is concerned. Change: it keeps the settings, takes its lock, and starts nothing once the test has ended.

--- a/internal/node/attendant/crash_test.go
+++ b/internal/node/attendant/crash_test.go
@@ -27,9 +27,13 @@
 
 // crashes makes the targets of a fleet crash on crashingPath and come back as new incarnations.
 type crashes struct {
-	f  *fleet
-	mu sync.Mutex
-	at []time.Time
+	f *fleet
+	// settings holds those of the nodes, which the test may replace meanwhile.
+	settings []platform.Settings
+
+	mu     sync.Mutex
+	closed bool
+	at     []time.Time
 	// down is the time after which a target is back.
 	down time.Duration
 	wg   sync.WaitGroup
@@ -44,9 +48,15 @@
 	f.store.Put(platform.ConfigTopic, platform.ConfigKey, fmt.Appendf(nil, lookupConfig, 2))
 	c := &crashes{f: f, down: down, born: make([]int, len(f.targets)), version: "v1"}
 	for i := range f.targets {
+		c.settings = append(c.settings, f.nodes[i].Settings)
 		c.arm(i, f.targets[i])
 	}
-	f.t.Cleanup(c.wg.Wait)
+	f.t.Cleanup(func() {
+		c.mu.Lock()
+		c.closed = true
+		c.mu.Unlock()
+		c.wg.Wait()
+	})
 	for i := range f.nodes {
 		f.eventually("served", func() bool { return f.get(i, "/a/1", "outbound") == 200 })
 	}
@@ -57,9 +67,11 @@
 	target.CrashOn = crashingPath
 	target.OnCrash = sync.OnceFunc(func() {
 		c.mu.Lock()
+		defer c.mu.Unlock()
 		c.at = append(c.at, time.Now())
-		c.mu.Unlock()
-		c.wg.Go(func() { c.restart(i, target) })
+		if !c.closed {
+			c.wg.Go(func() { c.restart(i, target) })
+		}
 	})
 }
 
@@ -68,10 +80,10 @@
 	target.Close()
 	time.Sleep(c.down)
 	next := &responder.Responder{ServiceTime: c.f.serviceTime}
-	if c.version == "v1" {
+	if c.currentVersion() == "v1" {
 		c.arm(i, next)
 	}
-	if _, err := next.OpenAt(c.f.nodes[i].Settings.TargetAddress); err != nil {
+	if _, err := next.OpenAt(c.settings[i].TargetAddress); err != nil {
 		c.f.t.Error(err)
 		return
 	}
@@ -86,10 +98,10 @@
 // announce announces the latest incarnation of a target.
 func (c *crashes) announce(i, sequence int) {
 	c.mu.Lock()
-	born := c.born[i]
+	born, version := c.born[i], c.version
 	c.mu.Unlock()
-	cfg := &c.f.nodes[i].Settings
-	body := fmt.Sprintf(`{"service":"x","address":%q,"zone":"dc","version":%q,"concurrency":20,"state":"ready","warmup_ms":0,"sequence":%d,"born":%d}`, cfg.TargetAddress, c.version, sequence, born)
+	cfg := &c.settings[i]
+	body := fmt.Sprintf(`{"service":"x","address":%q,"zone":"dc","version":%q,"concurrency":20,"state":"ready","warmup_ms":0,"sequence":%d,"born":%d}`, cfg.TargetAddress, version, sequence, born)
 	req, err := http.NewRequest(http.MethodPut, "http://"+cfg.AnnounceListen+platform.AnnouncePath+fmt.Sprintf("i-%d-%d", i, born), strings.NewReader(body))
 	if err != nil {
 		c.f.t.Error(err)
@@ -100,6 +112,21 @@
 	}
 }
 
+func (c *crashes) currentVersion() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.version
+}
+
+// mend replaces a target by one of the next version, which does not crash.
+func (c *crashes) mend(i int) {
+	c.mu.Lock()
+	c.version = "v2"
+	target := c.f.targets[i]
+	c.mu.Unlock()
+	c.restart(i, target)
+}
+
 // times returns the times of the crashes.
 func (c *crashes) times() []time.Time {
 	c.mu.Lock()
--- a/internal/node/attendant/quarantine_test.go
+++ b/internal/node/attendant/quarantine_test.go
@@ -91,8 +91,7 @@
 	c.quarantine(3)
 	time.Sleep(500 * time.Millisecond)
 	before := len(c.times())
-	c.version = "v2"
-	c.restart(1, f.targets[1])
+	c.mend(1)
 	for i := range f.nodes {
 		f.eventually("served", func() bool { return f.get(i, crashingPath, "outbound") == 200 })
 	}
