--- a/internal/caller/gateway/gateway.go
+++ b/internal/caller/gateway/gateway.go
@@ -4,9 +4,7 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net/http"
-	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -20,7 +18,6 @@
 	"github.com/plantainwheel/plantainwheel/internal/node/timekeeper"
 	"github.com/plantainwheel/plantainwheel/internal/peer/forwarder"
 	"github.com/plantainwheel/plantainwheel/internal/policy/allocator"
-	"github.com/plantainwheel/plantainwheel/internal/policy/elector"
 	"github.com/plantainwheel/plantainwheel/internal/policy/placer"
 	"github.com/plantainwheel/plantainwheel/internal/policy/quarantiner"
 	"github.com/plantainwheel/plantainwheel/internal/policy/queuer"
@@ -122,13 +119,6 @@
 	signature quarantiner.Signature
 }
 
-// refusal is an answer that the node itself gives instead of a target's answer.
-type refusal struct {
-	status     int
-	reason     string
-	retryAfter time.Duration
-}
-
 // ServeHTTP implements http.Handler.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.inFlight.Add(1)
@@ -266,41 +256,6 @@
 	g.writeAnswer(q, answer)
 }
 
-// checkQuarantine refuses a request that is withheld from all targets.
-func (g *Gateway) checkQuarantine(q *request) *refusal {
-	level := g.level(q)
-	q.trial = level >= quarantiner.Trial
-	if level == quarantiner.Quarantined && !g.hasTrialTarget(q) {
-		return &refusal{http.StatusServiceUnavailable, executor.ReasonQuarantined, maxRetryAfter}
-	}
-	return nil
-}
-
-// level returns how the request may be run by a target whose version is not known.
-func (g *Gateway) level(q *request) quarantiner.Level {
-	if g.Isolator == nil || !g.Isolator.Active() {
-		return quarantiner.Free
-	}
-	q.signature = g.job(q, &tracker.Member{}).Signature()
-	return g.Isolator.Level(q.signature, "")
-}
-
-// hasTrialTarget reports whether a target of the service has a version that may try the request.
-func (g *Gateway) hasTrialTarget(q *request) bool {
-	for _, c := range g.Tracker.Candidates(nil, time.Now(), q.service, q.route.Name, nil) {
-		if g.mayTry(q, c.Node) {
-			return true
-		}
-	}
-	return false
-}
-
-// mayTry reports whether the target beside a node may try the request.
-func (g *Gateway) mayTry(q *request, node string) bool {
-	m, ok := g.Tracker.Member(node)
-	return ok && g.Isolator.Level(q.signature, m.Version) < quarantiner.Quarantined
-}
-
 // place sends the request to one target after another until a target has answered or the request may not be placed
 // again.
 func (g *Gateway) place(q *request) *transporter.Answer {
@@ -393,22 +348,6 @@
 	return g.Tracker.Member((*list)[i].Node)
 }
 
-// chooseTrial returns the position of the target that tries the request, which is the same on all nodes that know the same
-// targets, or -1 if there is none.
-func (g *Gateway) chooseTrial(q *request, list []placer.Candidate) int {
-	var names []string
-	for _, c := range list {
-		if !c.Suspect && g.mayTry(q, c.Node) {
-			names = append(names, c.Node)
-		}
-	}
-	ranked := elector.Rank(q.signature.String(), names)
-	if len(ranked) == 0 {
-		return -1
-	}
-	return slices.IndexFunc(list, func(c placer.Candidate) bool { return c.Node == ranked[0] })
-}
-
 // recordStatement records what the answer says about its target, so that this node acts on it even if the target's node
 // has not heard of it or has been restarted.
 func (g *Gateway) recordStatement(m *tracker.Member, a *transporter.Answer) {
@@ -504,41 +443,6 @@
 	}
 }
 
-// refuse writes an answer of the node itself.
-func (g *Gateway) refuse(q *request, v *refusal) {
-	header := q.w.Header()
-	if id := q.r.Header.Get(platform.RequestIDHeader); id != "" {
-		header.Set(platform.RequestIDHeader, id)
-	}
-	if v.retryAfter > 0 {
-		header.Set(platform.RetryAfterHeader, formatRetryAfter(v.retryAfter))
-	}
-	g.Metrics.recordRefused(v.reason)
-	if line := g.logEntry(g.RefusedLogLimiter, q, v.status); line != nil {
-		line.Str("reason", v.reason).Msg("refused")
-	}
-	forwarder.WriteBody(q.w, &transporter.Answer{Status: v.status})
-}
-
-// retryAfter returns the retry delay for a request that has not run.
-func retryAfter(reason string) time.Duration {
-	switch reason {
-	case executor.ReasonRateLimited:
-		return rateLimitedRetryAfter
-	case executor.ReasonQuarantined:
-		return crashedRetryAfter
-	default:
-		return transientRetryAfter
-	}
-}
-
-// formatRetryAfter formats the delay as a header value in seconds. It adds jitter, so that refused callers do not all
-// retry at the same time.
-func formatRetryAfter(delay time.Duration) string {
-	jittered := min(time.Duration(float64(delay)*(1+rand.Float64())), maxRetryAfter)
-	return strconv.FormatFloat(jittered.Seconds(), 'f', 2, 64)
-}
-
 // logEntry starts the log line of a request. It returns nil if the limit of lines per second is reached.
 func (g *Gateway) logEntry(lim *loglimiter.Limiter, q *request, status int) *log.Entry {
 	ok, dropped := lim.Allow(q.start)
