Let one of two repeats of an order win when both ask at the same moment

Callers that sent the same order through two nodes at once got 409 earlier-attempt-unknown from both, and the order did not run.

Cause: an executor gave up at the first registrar that another executor held, also when the others could still make a majority. With a former group beside the present one, each executor held parts of both. Both released, the releases were late, and each further try held some registrars again.

Change: the ID is denied only if the missing votes cannot reach a quorum any more, or all votes are in. Former groups are asked only with a majority of the present group. A replayed answer is told to registrars that granted the ID meanwhile; they would have denied it to later repeats until the retention ended. A table that was taken over counts only if nobody else holds the ID.

--- a/internal/node/deduplicator/deduplicator.go
+++ b/internal/node/deduplicator/deduplicator.go
@@ -129,20 +129,20 @@
 		var decision granter.Decision
 		start := d.Clock()
 		decision, answer = d.round(ctx, id, executor)
-		if d.Clock().Sub(start) > voteTimeout {
-			// This node or a registrar was paused, so the votes may rest on a state that is no longer recent.
-			break
-		}
-		switch decision {
-		case granter.Run:
-			return granter.Answer{}, false, nil
-		case granter.Replay:
+		// If this node or a registrar was paused, the votes may rest on a state that is no longer recent.
+		paused := d.Clock().Sub(start) > voteTimeout
+		switch {
+		case decision == granter.Replay:
+			// Registrars that have granted the ID do not know the answer yet.
+			d.Complete(id, executor, answer)
 			return answer, true, nil
-		case granter.Deny:
+		case decision == granter.Deny:
 			d.Release(id, executor)
 			return granter.Answer{}, false, ErrTaken
+		case decision == granter.Run && !paused:
+			return granter.Answer{}, false, nil
 		}
-		if ctx.Err() != nil {
+		if paused || ctx.Err() != nil {
 			break
 		}
 	}
@@ -150,7 +150,16 @@
 	return granter.Answer{}, false, ErrNoQuorum
 }
 
-// round requests the votes of all registrars of an ID once and evaluates them.
+// poll is one round of votes on an ID.
+type poll struct {
+	req      granter.GrantRequest
+	asked    []string
+	votes    chan granter.Vote
+	received []granter.Vote
+}
+
+// round requests the votes of the registrars of an ID once and evaluates them. It asks former groups only with a
+// majority of the present group, so that executors that ask at the same moment do not hold parts of several groups.
 func (d *Deduplicator) round(ctx context.Context, id, executor string) (granter.Decision, granter.Answer) {
 	state := d.View.State()
 	shard := state.Shards[reducer.ShardOf(id)]
@@ -158,34 +167,47 @@
 	if !complete {
 		return granter.Wait, granter.Answer{}
 	}
-	req := granter.GrantRequest{ID: id, Executor: executor, Version: shard.Since}
-	registrars := d.registrars(state, quorums)
-	votes := make(chan granter.Vote, len(registrars))
-	for _, registrar := range registrars {
-		if !d.spawn(func() { votes <- d.requestVote(ctx, registrar, req) }) {
-			votes <- granter.Vote{From: registrar, Status: granter.Behind}
-		}
+	p := &poll{
+		req:   granter.GrantRequest{ID: id, Executor: executor, Version: shard.Since},
+		votes: make(chan granter.Vote, len(d.registrars(state, quorums))),
 	}
-	return d.collect(ctx, quorums, votes, len(registrars))
+	present := quorums[:1]
+	decision, answer := d.ask(ctx, p, d.registrars(state, present), present)
+	if decision == granter.Run && len(quorums) > 1 {
+		return d.ask(ctx, p, d.registrars(state, quorums), quorums)
+	}
+	return decision, answer
 }
 
 // expired reports whether a group that was replaced at the given offset can no longer hold a grant.
 func (d *Deduplicator) expired(until int64) bool { return d.View.Expired(until, d.Retention) }
 
-// collect receives up to n votes until they decide. If they do not and some are from registrars that know a
-// newer group, collect waits for newer state, so that the next round can use that group.
-func (d *Deduplicator) collect(ctx context.Context, quorums []granter.Quorum, votes <-chan granter.Vote, n int) (granter.Decision, granter.Answer) {
-	var received []granter.Vote
-	sawStale := false
-	for range n {
-		v := <-votes
-		sawStale = sawStale || v.Status == granter.Stale
-		received = append(received, v)
-		if decision, answer := granter.Tally(quorums, received); decision != granter.Wait {
+// ask requests the votes of the registrars that have not been asked in this round, and receives votes until they
+// decide. If they do not, ask denies the ID if another executor holds some of them. Otherwise, if some are from
+// registrars that know a newer group, ask waits for newer state, so that the next round can use that group.
+func (d *Deduplicator) ask(ctx context.Context, p *poll, registrars []string, quorums []granter.Quorum) (granter.Decision, granter.Answer) {
+	for _, registrar := range registrars {
+		if slices.Contains(p.asked, registrar) {
+			continue
+		}
+		p.asked = append(p.asked, registrar)
+		if !d.spawn(func() { p.votes <- d.requestVote(ctx, registrar, p.req) }) {
+			p.votes <- granter.Vote{From: registrar, Status: granter.Behind}
+		}
+	}
+	for {
+		if decision, answer := granter.Tally(quorums, p.received); decision != granter.Wait {
 			return decision, answer
 		}
+		if len(p.received) == len(p.asked) {
+			break
+		}
+		p.received = append(p.received, <-p.votes)
+	}
+	if p.has(granter.Taken) {
+		return granter.Deny, granter.Answer{}
 	}
-	if sawStale {
+	if p.has(granter.Stale) {
 		ctx, cancel := context.WithTimeout(ctx, catchUpTimeout)
 		defer cancel()
 		_ = d.View.WaitOffset(ctx, d.View.State().Offset+1)
@@ -193,6 +215,11 @@
 	return granter.Wait, granter.Answer{}
 }
 
+// has reports whether one of the received votes has a status.
+func (p *poll) has(status granter.Status) bool {
+	return slices.ContainsFunc(p.received, func(v granter.Vote) bool { return v.Status == status })
+}
+
 // registrars returns the members whose votes are requested. A member of a quorum that has left is replaced by
 // the member that took over its table.
 func (d *Deduplicator) registrars(state *reducer.State, quorums []granter.Quorum) []string {
--- a/internal/policy/granter/granter.go
+++ b/internal/policy/granter/granter.go
@@ -243,39 +243,54 @@
 	Replay
 )
 
-// Tally counts the votes against the quorums. A Replay decision comes with the recorded answer.
+// Tally counts the votes against the quorums. It denies the ID only if the missing votes can no longer reach a quorum,
+// so that one of two executors that ask at the same moment obtains it. A Replay decision comes with the recorded
+// answer.
 func Tally(quorums []Quorum, votes []Vote) (Decision, Answer) {
+	granted, covered, taken := map[string]bool{}, map[string]bool{}, map[string]bool{}
 	for _, v := range votes {
-		if v.Status == Finished {
+		switch v.Status {
+		case Finished:
 			return Replay, v.Answer
+		case Granted:
+			granted[v.From] = true
+			addAll(covered, v.Covers)
+		case Taken:
+			taken[v.From] = true
+			addAll(taken, v.Covers)
 		}
 	}
-	granted := map[string]bool{}
-	for _, v := range votes {
-		if v.Status == Taken {
-			return Deny, Answer{}
-		}
-		if v.Status == Granted {
-			granted[v.From] = true
-			for _, id := range v.Covers {
-				granted[id] = true
-			}
+	// A table that was taken over may have held the other executor's grant.
+	if len(taken) == 0 {
+		for id := range covered {
+			granted[id] = true
 		}
 	}
+	decision := Run
 	for _, q := range quorums {
-		if !q.reached(granted) {
-			return Wait, Answer{}
+		switch {
+		case len(q.Members)-q.count(taken) < q.Need:
+			return Deny, Answer{}
+		case q.count(granted) < q.Need:
+			decision = Wait
 		}
 	}
-	return Run, Answer{}
+	return decision, Answer{}
+}
+
+func addAll(set map[string]bool, ids []string) {
+	for _, id := range ids {
+		set[id] = true
+	}
 }
 
-func (q Quorum) reached(granted map[string]bool) bool {
+// count returns how many of the quorum's members are in a set.
+func (q Quorum) count(set map[string]bool) int {
 	n := 0
 	for _, id := range q.Members {
-		if granted[id] {
+		if set[id] {
 			n++
 		}
 	}
-	return n >= q.Need
+	return n
 }
--- a/internal/policy/granter/granter_test.go
+++ b/internal/policy/granter/granter_test.go
@@ -215,3 +215,32 @@
 	status, _ := table.Grant(time.Time{}, "other", "x")
 	assert.Equal(t, status, granter.Full, "a full table refuses new IDs and evicts nothing")
 }
+
+// TestSplitVote guards against two executors that ask for an ID at the same moment and are both denied.
+func TestSplitVote(t *testing.T) {
+	group := []granter.Quorum{{Members: []string{"a", "b", "c"}, Need: 2}}
+	former := []granter.Quorum{group[0], {Members: []string{"b", "c", "d"}, Need: 2}}
+	vote := func(from string, status granter.Status, covers ...string) granter.Vote {
+		return granter.Vote{From: from, Status: status, Covers: covers}
+	}
+	cases := []struct {
+		name    string
+		quorums []granter.Quorum
+		votes   []granter.Vote
+		want    granter.Decision
+	}{
+		{"one taken, others missing", group, []granter.Vote{vote("a", granter.Taken)}, granter.Wait},
+		{"one taken, a majority granted", group, []granter.Vote{vote("a", granter.Taken), vote("b", granter.Granted), vote("c", granter.Granted)}, granter.Run},
+		{"two taken", group, []granter.Vote{vote("a", granter.Taken), vote("c", granter.Taken)}, granter.Deny},
+		{"former group taken", former, []granter.Vote{vote("a", granter.Granted), vote("b", granter.Granted), vote("c", granter.Taken), vote("d", granter.Taken)}, granter.Deny},
+		{"taken along with a table taken over", group, []granter.Vote{vote("a", granter.Taken, "b")}, granter.Deny},
+		{"granted along with a table taken over", group, []granter.Vote{vote("b", granter.Granted, "c")}, granter.Run},
+		{"granted with a table taken over, another taken", group, []granter.Vote{vote("a", granter.Taken), vote("b", granter.Granted, "c")}, granter.Wait},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			got, _ := granter.Tally(c.quorums, c.votes)
+			assert.Equal(t, got, c.want)
+		})
+	}
+}
