Ask the target's node again when a connection between nodes is lost

Cause: the sender could not tell whether the other node had the request, found out each old connection by a request of its own, and needed 0.9 s for it, longer than the time of the deepest calls.

Ruled out: the retry rules (non-idempotent requests must not be sent again without knowing, and the budget for the others was empty), and the target's own connections.

Change: forwarded requests carry an ID. After a lost connection the sender asks the same process of the node again on a new one; the node waits for the run in progress, returns the kept answer, or runs what never arrived. Other idle connections to the node are closed, and 0.4 s without an acknowledgement are enough between nodes. Nodes of earlier builds get no IDs and reject copies.

--- a/internal/fleet/tracker/tracker.go
+++ b/internal/fleet/tracker/tracker.go
@@ -42,6 +42,8 @@
 	WarmUpEndMs int64 `json:"warm-at"`
 	// TakesBatches tells that the node understands several reports in one datagram.
 	TakesBatches bool `json:"takes-batches,omitempty"`
+	// RecognisesCopies tells that the node recognises a forwarded request that is sent again.
+	RecognisesCopies bool `json:"recognises-copies,omitempty"`
 	// Version is the version of the target's software, if known.
 	Version string `json:"version,omitempty"`
 }
@@ -202,6 +204,17 @@
 	}
 }
 
+// Process returns the process that the node's latest report came from, or 0 if it is unknown or does not recognise
+// forwarded requests that are sent again.
+func (t *Tracker) Process(node string) int64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if p, ok := t.peers[node]; ok && p.RecognisesCopies {
+		return p.report.Started
+	}
+	return 0
+}
+
 // RequestSent counts a request sent to the node as outstanding, until RequestEnded is called.
 func (t *Tracker) RequestSent(node string) { t.addOutstanding(node, 1) }
 
--- a/internal/node/attendant/report.go
+++ b/internal/node/attendant/report.go
@@ -201,6 +201,8 @@
 		State:          tracker.Ready,
 		WarmUpEndMs:    t.WarmUpEnd.UnixMilli(),
 		TakesBatches:   true,
+
+		RecognisesCopies: true,
 	}
 	switch {
 	case t.Gone:
--- a/internal/node/attendant/server.go
+++ b/internal/node/attendant/server.go
@@ -114,7 +114,7 @@
 		newControlServer("metrics", cfg.IP+":"+strconv.Itoa(cfg.MetricsPort), figures),
 		newControlServer("control", a.controlAddress(), control),
 		newControlServer("announcements", cfg.AnnounceListen, announce),
-		newServer("peer requests", cfg.InboundListen, &forwarder.Server{Executor: a.executor}),
+		newServer("peer requests", cfg.InboundListen, &forwarder.Server{Executor: a.executor, Process: a.reporter.Started}),
 		newServer("client requests", cfg.OutboundListen, a.gateway),
 	}
 	return append(list, newControlServer("readiness", cfg.ReadyListen, ready))
--- a/internal/peer/forwarder/forwarder.go
+++ b/internal/peer/forwarder/forwarder.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -37,10 +38,18 @@
 	// maxReuseIdle is the maximum idle time after which a connection is reused. It is below the idle timeout of
 	// the other node's server, so that the server does not close a connection while it is being reused.
 	maxReuseIdle = 6 * time.Second
+	// unackedTimeout is short, so that the other node can still be asked again in time.
+	unackedTimeout = 400 * time.Millisecond
 	// answerGrace is how long past the deadline to wait for the other node's response.
 	answerGrace = 120 * time.Millisecond
 )
 
+// Reasons for reporting an unknown outcome of a call that was sent again.
+const (
+	reasonAnswerNotKept = "answer-not-kept"
+	reasonOtherProcess  = "node-restarted"
+)
+
 // errMalformedHop is returned for a missing or malformed hopHeader.
 var errMalformedHop = errors.New("malformed hop header")
 
@@ -50,6 +59,9 @@
 	RecordLoad(node string, running, waiting, limit int)
 	// MarkUnreachable records that a node could not be reached, or that its connection broke during a request.
 	MarkUnreachable(node string)
+	// Process returns the process that the node's latest report came from, or 0 if it is unknown or does not recognise
+	// calls that are sent again.
+	Process(node string) int64
 }
 
 // Forwarder forwards requests to other nodes. It is safe for concurrent use.
@@ -59,18 +71,40 @@
 }
 
 // NewPool returns a connection pool for traffic between nodes.
-func NewPool() *transporter.Pool { return &transporter.Pool{IdleTimeout: idleTimeout} }
+func NewPool() *transporter.Pool {
+	return &transporter.Pool{IdleTimeout: idleTimeout, UnackedTimeout: unackedTimeout}
+}
 
-// Do sends the job to the node at address and returns the answer. The caller must release an answer with
-// Body.Stream set.
+// Do sends the job to the node at address and returns the answer. If the connection is lost, Do asks the same process
+// for the answer on another one. The caller must release an answer with Body.Stream set.
 func (f *Forwarder) Do(ctx context.Context, node, address string, job *executor.Job) *transporter.Answer {
-	encodeRequestHop(job)
+	process := f.LoadTracker.Process(node)
+	id := callID{}
+	if process != 0 && job.Request.Body.Repeatable() {
+		id.id = newCallID()
+	}
+	hop := packRequestHop(job)
+	setRequestHop(job, hop, id)
 	ctx, cancel := context.WithDeadline(ctx, job.Deadline.Add(answerGrace))
 	resp, _, err := f.Pool.Send(ctx, address, &job.Request, maxReuseIdle)
-	if errors.Is(err, transporter.ErrNotSent) && ctx.Err() == nil && job.Request.Body.Repeatable() {
+	switch {
+	case err == nil || ctx.Err() != nil:
+	case errors.Is(err, transporter.ErrNotSent) && job.Request.Body.Repeatable():
 		// The other node may have closed the idle connection: retry once on a new connection.
 		f.Pool.CloseIdle(address)
 		resp, _, err = f.Pool.Send(ctx, address, &job.Request, 0)
+	case errors.Is(err, transporter.ErrNoAnswer):
+		// Idle connections that are as old are probably lost as well.
+		f.Pool.CloseIdle(address)
+		if id.id == "" {
+			break
+		}
+		id.process = process
+		job.Request.Header = job.Request.Header.Clone()
+		setRequestHop(job, hop, id)
+		if again, _, errAgain := f.Pool.Send(ctx, address, &job.Request, 0); errAgain == nil {
+			resp, err = again, nil
+		}
 	}
 	if err != nil {
 		timedOut := ctx.Err() != nil
@@ -139,17 +173,22 @@
 // absentValue encodes a missing value in hopHeader.
 const absentValue = "-"
 
-// encodeRequestHop sets hopHeader from the job's metadata, and moves the values of packedHeaders into it.
-func encodeRequestHop(job *executor.Job) {
-	kind := "o"
-	if job.Idempotent {
-		kind = "i"
-	}
-	remainingMs := time.Until(job.Deadline).Milliseconds()
+// callID identifies a call between nodes. process is set in a copy, which only this process may answer.
+type callID struct {
+	id      string
+	process int64
+}
+
+// newCallID returns an ID that no other call has.
+func newCallID() string { return strconv.FormatUint(rand.Uint64(), 36) }
+
+// packRequestHop moves the values of packedHeaders out of the job's headers and returns the fields of hopHeader that do
+// not depend on the time.
+func packRequestHop(job *executor.Job) string {
 	h := job.Request.Header
 	h.Set(platform.ExpectIncarnationHeader, job.ExpectedIncarnation)
 	h.Del(platform.DeadlineHeader)
-	text := fmt.Sprintf("%s %d %d %d %s", kind, job.Rank, job.MaxWait.Milliseconds(), remainingMs, url.QueryEscape(job.Route))
+	text := url.QueryEscape(job.Route)
 	for _, name := range packedHeaders {
 		value := h.Get(name)
 		if value == "" || strings.ContainsAny(value, " ") {
@@ -160,32 +199,61 @@
 		}
 		text += " " + value
 	}
-	h.Set(hopHeader, text)
 	h.Del(limitHeader)
 	if job.KnownLimit > 0 {
 		h.Set(limitHeader, strconv.FormatFloat(job.KnownLimit, 'g', -1, 64))
 	}
+	return text
+}
+
+// setRequestHop sets hopHeader. The fields of the call ID follow the others, so that nodes of earlier builds reject a
+// copy instead of running it.
+func setRequestHop(job *executor.Job, packed string, id callID) {
+	kind := "o"
+	if job.Idempotent {
+		kind = "i"
+	}
+	remainingMs := time.Until(job.Deadline).Milliseconds()
+	text := fmt.Sprintf("%s %d %d %d %s", kind, job.Rank, job.MaxWait.Milliseconds(), remainingMs, packed)
+	if id.id != "" {
+		text += " " + id.id
+	}
+	if id.process != 0 {
+		text += " " + strconv.FormatInt(id.process, 36)
+	}
+	job.Request.Header.Set(hopHeader, text)
 }
 
 // decodeRequestHop parses hopHeader, removes it, and restores the headers that were packed into it.
-func decodeRequestHop(h http.Header) (executor.Job, error) {
+func decodeRequestHop(h http.Header) (executor.Job, callID, error) {
 	fields := strings.Split(h.Get(hopHeader), " ")
 	h.Del(hopHeader)
-	if len(fields) != 5+len(packedHeaders) {
-		return executor.Job{}, errMalformedHop
+	fixed := 5 + len(packedHeaders)
+	if len(fields) < fixed || len(fields) > fixed+2 {
+		return executor.Job{}, callID{}, errMalformedHop
+	}
+	var id callID
+	var err error
+	if len(fields) > fixed {
+		id.id = fields[fixed]
+	}
+	if len(fields) > fixed+1 {
+		if id.process, err = strconv.ParseInt(fields[fixed+1], 36, 64); err != nil {
+			return executor.Job{}, callID{}, fmt.Errorf("%w: %w", errMalformedHop, err)
+		}
 	}
 	// Without a readable value, no limit is known.
 	knownLimit, _ := strconv.ParseFloat(h.Get(limitHeader), 64)
 	h.Del(limitHeader)
 	route, err := url.QueryUnescape(fields[4])
 	if err != nil {
-		return executor.Job{}, fmt.Errorf("%w: %w", errMalformedHop, err)
+		return executor.Job{}, callID{}, fmt.Errorf("%w: %w", errMalformedHop, err)
 	}
 	var numbers [3]int
 	for i := range numbers {
 		n, err := strconv.Atoi(fields[1+i])
 		if err != nil {
-			return executor.Job{}, fmt.Errorf("%w: %w", errMalformedHop, err)
+			return executor.Job{}, callID{}, fmt.Errorf("%w: %w", errMalformedHop, err)
 		}
 		numbers[i] = n
 	}
@@ -202,7 +270,7 @@
 		Route:               route,
 		ExpectedIncarnation: h.Get(platform.ExpectIncarnationHeader),
 		KnownLimit:          knownLimit,
-	}, nil
+	}, id, nil
 }
 
 // answerHop is the forwarding metadata of a response.
--- a/internal/peer/forwarder/forwarder_test.go
+++ b/internal/peer/forwarder/forwarder_test.go
@@ -19,27 +19,33 @@
 type fakeLoadTracker struct {
 	limit       int
 	unreachable int
+	process     int64
 }
 
 func (l *fakeLoadTracker) RecordLoad(_ string, _, _, limit int) { l.limit = limit }
 func (l *fakeLoadTracker) MarkUnreachable(string)               { l.unreachable++ }
+func (l *fakeLoadTracker) Process(string) int64                 { return l.process }
 
 type fixture struct {
 	target      *responder.Responder
 	node        *httptest.Server
 	loadTracker fakeLoadTracker
 	forwarder   *forwarder.Forwarder
+	executor    *executor.Executor
 	knownLimit  float64
+	// process is the process that answers, which the load tracker knows.
+	process int64
 }
 
 func newFixture(t *testing.T) *fixture {
 	t.Helper()
-	f := &fixture{target: &responder.Responder{}}
+	f := &fixture{target: &responder.Responder{}, process: 7, loadTracker: fakeLoadTracker{process: 7}}
 	address, err := f.target.Open()
 	assert.NilError(t, err)
 	e := executor.New(&transporter.Pool{IdleTimeout: time.Minute})
 	e.Announce(platform.Announcement{ID: "i-1", Service: "x", Address: address, Slots: 3, Sequence: 1})
-	f.node = httptest.NewServer(&forwarder.Server{Executor: e})
+	f.executor = e
+	f.node = httptest.NewServer(&forwarder.Server{Executor: e, Process: func() int64 { return f.process }})
 	f.forwarder = &forwarder.Forwarder{Pool: forwarder.NewPool(), LoadTracker: &f.loadTracker}
 	t.Cleanup(func() {
 		f.forwarder.Pool.Close()
--- a/internal/peer/forwarder/server.go
+++ b/internal/peer/forwarder/server.go
@@ -1,9 +1,11 @@
 package forwarder
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/plantainwheel/plantainwheel/internal/route/transporter"
 	"github.com/plantainwheel/plantainwheel/internal/target/executor"
@@ -12,12 +14,16 @@
 // Server handles requests that other nodes forward to the target beside this node.
 type Server struct {
 	Executor *executor.Executor
+	// Process returns the identity of this process in the node's reports.
+	Process func() int64
+
+	calls calls
 }
 
 // ServeHTTP executes a forwarded request. It rejects a request without a valid hopHeader, because such a request
 // cannot come from another node.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	job, err := decodeRequestHop(r.Header)
+	job, id, err := decodeRequestHop(r.Header)
 	if err != nil {
 		w.WriteHeader(http.StatusForbidden)
 		return
@@ -32,11 +38,43 @@
 	}
 	transporter.StripConnection(r.Header)
 	job.Request = transporter.Request{Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: r.Header, Body: body}
-	answer := s.Executor.Do(r.Context(), &job)
+	answer := s.run(r.Context(), &job, id)
+	if answer == nil {
+		panic(http.ErrAbortHandler)
+	}
 	defer answer.Release()
 	s.writeAnswer(w, answer)
 }
 
+// run runs the job, or waits for the answer of the call that it is a copy of. It returns nil if the sender of the copy
+// left meanwhile.
+func (s *Server) run(ctx context.Context, job *executor.Job, id callID) *transporter.Answer {
+	switch {
+	case id.id == "":
+		return s.Executor.Do(ctx, job)
+	case id.process != 0 && id.process != s.Process():
+		// An earlier process of this node may have run the call.
+		return transporter.UnknownAnswer(reasonOtherProcess)
+	}
+	callCtx, k, n := s.calls.receive(time.Now(), id)
+	stop := context.AfterFunc(ctx, func() { s.calls.leave(k, n) })
+	if n == 1 {
+		answer := s.Executor.Do(callCtx, job)
+		s.calls.end(time.Now(), k, answer)
+		if answer.Body.Stream == nil {
+			stop()
+		}
+		return answer
+	}
+	defer stop()
+	select {
+	case <-k.done:
+		return s.calls.result(k)
+	case <-ctx.Done():
+		return nil
+	}
+}
+
 func (s *Server) writeAnswer(w http.ResponseWriter, a *transporter.Answer) {
 	load := s.Executor.Load()
 	h := answerHop{outcome: outcomeAnswered, running: load.Occupied(), waiting: load.Waiting, limit: load.Limit, reason: a.Reason}
--- a/internal/peer/reporter/reporter.go
+++ b/internal/peer/reporter/reporter.go
@@ -112,6 +112,9 @@
 	return nil
 }
 
+// Started returns what identifies this process in its reports. It is set by Open.
+func (r *Reporter) Started() int64 { return r.started }
+
 // Run sends and receives reports until the context is done.
 func (r *Reporter) Run(ctx context.Context) {
 	r.done.Add(1)
--- a/internal/route/transporter/transporter.go
+++ b/internal/route/transporter/transporter.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -30,9 +31,8 @@
 
 const (
 	dialTimeout = 400 * time.Millisecond
-	// unackedTimeout is the maximum time for which sent data may stay unacknowledged. It detects a connection that
-	// has failed without being closed.
-	unackedTimeout = 900 * time.Millisecond
+	// defaultUnackedTimeout is the UnackedTimeout of a pool that sets none.
+	defaultUnackedTimeout = 900 * time.Millisecond
 	// keepAliveIdle, keepAliveInterval and keepAliveCount configure the TCP keep-alive probes that detect a failed
 	// connection while the pool waits for an answer.
 	keepAliveIdle     = 2 * time.Second
@@ -114,6 +114,9 @@
 type Pool struct {
 	// IdleTimeout is the maximum time for which an idle connection is kept open.
 	IdleTimeout time.Duration
+	// UnackedTimeout is the maximum time for which sent data may stay unacknowledged, 900 ms if it is 0. It detects a
+	// connection that has failed without being closed.
+	UnackedTimeout time.Duration
 	// OnDial, if set, is called each time a connection is opened.
 	OnDial func()
 	// Dial, if set, opens the connections.
@@ -152,7 +155,7 @@
 		dialer := &net.Dialer{
 			Timeout:         dialTimeout,
 			KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount},
-			Control:         setUserTimeout,
+			Control:         p.setUserTimeout,
 		}
 		dial = dialer.DialContext
 	}
@@ -177,10 +180,11 @@
 }
 
 // setUserTimeout limits how long sent data may stay unacknowledged.
-func setUserTimeout(_, _ string, c syscall.RawConn) error {
+func (p *Pool) setUserTimeout(_, _ string, c syscall.RawConn) error {
+	timeout := cmp.Or(p.UnackedTimeout, defaultUnackedTimeout)
 	var sockErr error
 	err := c.Control(func(fd uintptr) {
-		sockErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
+		sockErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds()))
 	})
 	return errors.Join(err, sockErr)
 }
