--- a/internal/caller/gateway/gateway.go
+++ b/internal/caller/gateway/gateway.go
@@ -114,8 +114,9 @@
 	// tried holds the nodes on whose targets the request was placed.
 	tried []string
 	uri   string
-	// trial is set if only one target at a time may run the request. signature is then its signature.
-	trial     bool
+	// trial is set if only one target at a time may run the request.
+	trial bool
+	// signature is set while a crash of a target is known.
 	signature quarantiner.Signature
 }
 
--- a/internal/caller/gateway/quarantine.go
+++ b/internal/caller/gateway/quarantine.go
@@ -27,7 +27,9 @@
 	if g.Isolator == nil || !g.Isolator.Active() {
 		return quarantiner.Free
 	}
-	q.signature = g.job(q, &tracker.Member{}).Signature()
+	if q.signature == (quarantiner.Signature{}) {
+		q.signature = g.job(q, &tracker.Member{}).Signature()
+	}
 	return g.Isolator.Level(q.signature, "")
 }
 
--- a/internal/fleet/isolator/isolator.go
+++ b/internal/fleet/isolator/isolator.go
@@ -88,7 +88,11 @@
 		i.stored, i.quarantinedAt = map[quarantiner.Signature]bool{}, map[quarantiner.Signature]time.Duration{}
 		i.crashes = i.Metrics.NewCounter("target_crashes_total")
 		i.withheld = i.Metrics.NewCounter("requests_withheld_total")
-		i.Metrics.NewGauge("requests_quarantined", func() float64 { return float64(len(i.Entries())) })
+		i.Metrics.NewGauge("requests_quarantined", func() float64 {
+			i.mu.Lock()
+			defer i.mu.Unlock()
+			return float64(len(i.quarantined))
+		})
 	})
 }
 
--- a/internal/fleet/isolator/store.go
+++ b/internal/fleet/isolator/store.go
@@ -18,8 +18,9 @@
 	// still missing.
 	maxWriters  = 3
 	writerDelay = 2 * time.Second
-	// maxStored is the maximum number of records.
-	maxStored = 64
+	// maxStored is the maximum number of records, and maxRecordCrashes that of the crashes that are read from one.
+	maxStored        = 64
+	maxRecordCrashes = 64
 )
 
 // storedRecord is the record of a quarantined request, from which a fleet that has lost all nodes learns of it.
@@ -57,7 +58,7 @@
 	}
 	var crashes []quarantiner.Crash
 	for _, c := range r.Crashes {
-		if len(c.ID) > maxIDBytes || len(crashes) == maxStored {
+		if len(c.ID) > maxIDBytes || len(crashes) == maxRecordCrashes {
 			continue
 		}
 		age := max(wall.Sub(time.UnixMilli(c.AtMs)), 0)
--- a/internal/policy/windowlimiter/windowlimiter.go
+++ b/internal/policy/windowlimiter/windowlimiter.go
@@ -212,7 +212,10 @@
 	o := &l.others[i]
 	if complete {
 		o.completeAt, o.started = now, from.Started
-		l.setSilent(o, false)
+		if o.member && o.silent {
+			l.heard++
+		}
+		o.silent = false
 	}
 	if !o.silent {
 		o.heardAt = now
@@ -273,14 +276,6 @@
 	return l.nodes - l.heard
 }
 
-// setSilent records whether a node is silent.
-func (l *Limiter) setSilent(o *other, silent bool) {
-	if o.member && o.silent && !silent {
-		l.heard++
-	}
-	o.silent = silent
-}
-
 // report returns the report at the position, which may be empty.
 func (a *account) report(i int) *report {
 	if i >= len(a.reports) {
--- a/internal/target/executor/crash.go
+++ b/internal/target/executor/crash.go
@@ -134,7 +134,7 @@
 		e.endAnswered(sent, target, a)
 		return a
 	}
-	body := &countedBody{Reader: a.Body.Stream}
+	body := &observedBody{Reader: a.Body.Stream}
 	a.Body.Stream = body
 	closeBody := a.Close
 	a.Close = func() {
@@ -148,13 +148,13 @@
 	return a
 }
 
-// countedBody tells whether a body was read to its end.
-type countedBody struct {
+// observedBody tells whether a body was read to its end.
+type observedBody struct {
 	io.Reader
 	ended bool
 }
 
-func (b *countedBody) Read(p []byte) (int, error) {
+func (b *observedBody) Read(p []byte) (int, error) {
 	n, err := b.Reader.Read(p)
 	b.ended = b.ended || errors.Is(err, io.EOF)
 	return n, err
