End a run whose caller leaves after its request was sent again

The run of a request went on to its deadline although its caller had left, if the request had been sent again on another connection.

Cause: the handler of the copy cancelled, by its deferred stop, the function that records the sender's leaving, when it woke before that function had been started. Ruled out: a copy that had not arrived yet (the test waits until it is sent), and the copy arriving before the original (the copy then runs the call itself). Change: the handler of a copy records it itself.

It did not show before, because the request's own deadline ended the run within the test's bound: the deadline of these tests is 2 s now, and the bound is the half second of the rule.

--- a/internal/peer/forwarder/forwarder_test.go
+++ b/internal/peer/forwarder/forwarder_test.go
@@ -33,13 +33,14 @@
 	forwarder   *forwarder.Forwarder
 	executor    *executor.Executor
 	knownLimit  float64
+	timeout     time.Duration
 	// process is the process that answers, which the load tracker knows.
 	process int64
 }
 
 func newFixture(t *testing.T) *fixture {
 	t.Helper()
-	f := &fixture{target: &responder.Responder{}, process: 7, loadTracker: fakeLoadTracker{process: 7}}
+	f := &fixture{target: &responder.Responder{}, timeout: 400 * time.Millisecond, process: 7, loadTracker: fakeLoadTracker{process: 7}}
 	address, err := f.target.Open()
 	assert.NilError(t, err)
 	e := executor.New(&transporter.Pool{IdleTimeout: time.Minute})
@@ -65,7 +66,7 @@
 				platform.RequestIDHeader: {"id"}, platform.AccountHeader: {"the shop"}, platform.CallerServiceHeader: {"here"}, "X-Kept": {"1"},
 			},
 		},
-		Route: "a route", Rank: 3, ExpectedIncarnation: expect, Deadline: time.Now().Add(400 * time.Millisecond), MaxWait: 50 * time.Millisecond,
+		Route: "a route", Rank: 3, ExpectedIncarnation: expect, Deadline: time.Now().Add(f.timeout), MaxWait: 50 * time.Millisecond,
 		KnownLimit: f.knownLimit,
 	}
 	return f.forwarder.Do(ctx, "n", strings.TrimPrefix(f.node.URL, "http://"), job)
--- a/internal/peer/forwarder/lost_test.go
+++ b/internal/peer/forwarder/lost_test.go
@@ -54,18 +54,36 @@
 	return c.Conn.Close()
 }
 
-// loseFirst makes the next connection to the node a lossy one.
-func (f *fixture) loseFirst(t *testing.T, lossy *lossyConn) {
+// watchedConn calls onWrite before the first write.
+type watchedConn struct {
+	net.Conn
+	onWrite func()
+}
+
+func (c *watchedConn) Write(b []byte) (int, error) {
+	c.onWrite()
+	return c.Conn.Write(b)
+}
+
+// loseFirst makes the next connection to the node a lossy one. The returned channel is closed when a request is sent on
+// another connection.
+func (f *fixture) loseFirst(t *testing.T, lossy *lossyConn) (sentAgain <-chan struct{}) {
 	var dialled atomic.Int32
+	again := make(chan struct{})
+	onWrite := sync.OnceFunc(func() { close(again) })
 	f.forwarder.Pool.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
-		if err != nil || dialled.Add(1) > 1 {
-			return conn, err
+		if err != nil {
+			return nil, err
+		}
+		if dialled.Add(1) > 1 {
+			return &watchedConn{conn, onWrite}, nil
 		}
 		t.Cleanup(func() { _ = conn.Close() })
 		lossy.Conn, lossy.lost = conn, make(chan struct{})
 		return lossy, nil
 	}
+	return again
 }
 
 // TestLostConnection guards against requests that are given up, or run twice, because the connection to the target's
@@ -93,6 +111,7 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			f := newFixture(t)
+			f.timeout = 2 * time.Second
 			f.target.SetServiceTime(80 * time.Millisecond)
 			f.process, f.loadTracker.process = c.process, c.knownProcess
 			f.loseFirst(t, c.lossy)
@@ -111,15 +130,21 @@
 func TestLostConnectionOfLeavingCaller(t *testing.T) {
 	for _, again := range []bool{false, true} {
 		f := newFixture(t)
+		f.timeout = 2 * time.Second
 		f.target.SetFault(responder.Hang)
+		ctx, cancel := context.WithCancel(context.Background())
 		if again {
-			f.loseFirst(t, &lossyConn{loseAfter: 20 * time.Millisecond, keepOpen: true})
+			sentAgain := f.loseFirst(t, &lossyConn{loseAfter: 20 * time.Millisecond, keepOpen: true})
+			go func() {
+				<-sentAgain
+				time.AfterFunc(100*time.Millisecond, cancel)
+			}()
+		} else {
+			time.AfterFunc(100*time.Millisecond, cancel)
 		}
-		ctx, cancel := context.WithCancel(context.Background())
-		time.AfterFunc(100*time.Millisecond, cancel)
 		a := f.do(ctx, "i-1")
 		assert.Assert(t, a.Unknown)
-		deadline := time.Now().Add(300 * time.Millisecond)
+		deadline := time.Now().Add(500 * time.Millisecond)
 		for f.executor.Load().Running > 0 {
 			assert.Assert(t, time.Now().Before(deadline), "sent again: %v", again)
 			time.Sleep(5 * time.Millisecond)
@@ -131,6 +156,7 @@
 // when it is asked again.
 func TestLostConnectionToEndedNode(t *testing.T) {
 	f := newFixture(t)
+	f.timeout = 2 * time.Second
 	f.target.SetServiceTime(80 * time.Millisecond)
 	f.loseFirst(t, &lossyConn{loseAfter: 40 * time.Millisecond, keepOpen: true})
 	time.AfterFunc(20*time.Millisecond, func() { _ = f.node.Listener.Close() })
--- a/internal/peer/forwarder/server.go
+++ b/internal/peer/forwarder/server.go
@@ -57,8 +57,8 @@
 		return transporter.UnknownAnswer(reasonOtherProcess)
 	}
 	callCtx, k, n := s.calls.receive(time.Now(), id)
-	stop := context.AfterFunc(ctx, func() { s.calls.leave(k, n) })
 	if n == 1 {
+		stop := context.AfterFunc(ctx, func() { s.calls.leave(k, n) })
 		answer := s.Executor.Do(callCtx, job)
 		s.calls.end(time.Now(), k, answer)
 		if answer.Body.Stream == nil {
@@ -66,11 +66,11 @@
 		}
 		return answer
 	}
-	defer stop()
 	select {
 	case <-k.done:
 		return s.calls.result(k)
 	case <-ctx.Done():
+		s.calls.leave(k, n)
 		return nil
 	}
 }
