Report the longest pause of the soak's own process

Cause, as far as traced: the operator wrote the lost records again 11 s after the restore in place of 2. The process that holds clients, store, targets and operator stood still for 7.4 s: in that time no node got a request, all calls of the store timed out, and the start of the next node, two instructions later, came after it. Why it stood still is not known.

Change: the result of a run tells the longest pause of the process, so that the next such finding can be judged. No check or bound is changed.

--- a/internal/soak/injector/soak.go
+++ b/internal/soak/injector/soak.go
@@ -72,6 +72,9 @@
 	// Served is the fraction of the Requests sent in the evaluation time that succeeded.
 	Served   float64
 	Requests int
+	// LongestPause is the longest time for which this process did not run. The clients, the targets, the store and the
+	// operator are in it, so that findings right after a pause of seconds may be its own.
+	LongestPause time.Duration
 }
 
 // Run starts the fleet, injects the planned faults under load and checks the guarantees.
@@ -96,6 +99,8 @@
 			clients.Go(func() { s.runClient(loadCtx, i, account) })
 		}
 	}
+	var pause time.Duration
+	clients.Go(func() { pause = longestPause(loadCtx) })
 	steps := Plan(s.Seed, s.Nodes, s.FaultPeriod, s.Kinds)
 	sleep(ctx, warmUpTime)
 	inj := &Injector{Fleet: s.fleet, Nodes: s.Nodes, RevokeKey: s.revokeKey, SendCrashing: s.sendCrashing, Report: s.report, Disturbed: s.checker.RecordDisturbance}
@@ -105,7 +110,24 @@
 	loadEnd := time.Now()
 	stopLoad()
 	clients.Wait()
-	return s.result(steps, loadEnd), ctx.Err()
+	r := s.result(steps, loadEnd)
+	r.LongestPause = pause
+	return r, ctx.Err()
+}
+
+// pauseInterval is the interval at which longestPause checks whether the process runs.
+const pauseInterval = 20 * time.Millisecond
+
+// longestPause returns the longest time for which the process did not run until ctx is done.
+func longestPause(ctx context.Context) time.Duration {
+	longest, last := time.Duration(0), time.Now()
+	for ctx.Err() == nil {
+		sleep(ctx, pauseInterval)
+		now := time.Now()
+		longest = max(longest, now.Sub(last)-pauseInterval)
+		last = now
+	}
+	return longest
 }
 
 // sleep waits for the duration or until ctx is done.
