Withhold a part of the rate in the first window of accounts with a small burst

Cause: new processes admit the whole rate in their first window. Only the burst, which they withhold, is left for what the processes before them had admitted ahead of the rate, and a small burst is too little for that.

Change: with a burst below a second of the rate, up to 0.14 of the rate are withheld for one window.

--- a/internal/policy/windowlimiter/replay_test.go
+++ b/internal/policy/windowlimiter/replay_test.go
@@ -412,3 +412,25 @@
 		},
 	})
 }
+
+// TestRateExceededAfterLossOfAllNodes guards against new processes that admit the rate again although those before them
+// have just admitted most of the window's limit. A small burst leaves little room for both.
+func TestRateExceededAfterLossOfAllNodes(t *testing.T) {
+	for _, limit := range []windowlimiter.Limit{{Rate: 240, Burst: 480}, {Rate: 305, Burst: 155}, {Rate: 330, Burst: 30}} {
+		for _, flood := range []time.Duration{400 * time.Millisecond, 700 * time.Millisecond, 1070 * time.Millisecond} {
+			for _, down := range []time.Duration{300 * time.Millisecond, 600 * time.Millisecond} {
+				worst := 0.0
+				for seed := range uint64(3) {
+					r := newReplay(seed, 74, limit)
+					r.run(6*time.Second, 0.62)
+					r.run(flood, 7.5)
+					r.kill(r.pick(1), down)
+					r.run(8*time.Second, 7.5)
+					worst = max(worst, r.fullest())
+				}
+				t.Logf("rate %.0f, burst %.0f, lost %s after a flood began, for %s: %.3f of the allowed requests", limit.Rate, limit.Burst, flood, down, worst)
+				assert.Check(t, worst <= 1)
+			}
+		}
+	}
+}
--- a/internal/policy/windowlimiter/windowlimiter.go
+++ b/internal/policy/windowlimiter/windowlimiter.go
@@ -56,6 +56,10 @@
 	// startRetryDelay is the longest time after which a caller is told to come back once the demand is known, until the
 	// node has run for a window.
 	startRetryDelay = 600 * time.Millisecond
+	// startReserve is the part of the rate that a node withholds until it has run for a window, if the account has no
+	// burst. The processes before it may have admitted requests ahead of the rate. A burst of a second of the rate, which
+	// is withheld then, covers that.
+	startReserve = 0.14
 	// silenceTimeout is the time without any report after which a node is taken for silent. Nodes that have nothing to
 	// report say so once a second. From lagTime on, a node may have used a growing part of its share of the limit.
 	silenceTimeout = 2 * time.Second
@@ -304,7 +308,7 @@
 	rate := max(available, 0) / l.Window.Seconds()
 	if !historyComplete {
 		// Requests admitted before the start may still be within the window, so no burst is allowed.
-		rate = limit.Rate * heardShare
+		rate = limit.Rate * heardShare * (1 - startReserve*max(1-limit.Burst/limit.Rate, 0))
 	}
 	share := l.demandShare(now, a, u.demand)
 	savedShare := share
