--- a/internal/policy/windowlimiter/replay_test.go
+++ b/internal/policy/windowlimiter/replay_test.go
@@ -434,3 +434,22 @@
 		}
 	}
 }
+
+// TestRateExceededAfterLossWithLateReports guards against the same where the nodes also hear late of each other, so that
+// those that are lost have admitted more.
+func TestRateExceededAfterLossWithLateReports(t *testing.T) {
+	for _, limit := range []windowlimiter.Limit{{Rate: 240, Burst: 480}, {Rate: 287, Burst: 244}, {Rate: 330, Burst: 30}} {
+		worst := 0.0
+		for seed := range uint64(2) {
+			r := newReplay(seed, 74, limit)
+			r.delay = 200 * time.Millisecond
+			r.run(6*time.Second, 0.62)
+			r.run(1070*time.Millisecond, 7.5)
+			r.kill(r.pick(1), 500*time.Millisecond)
+			r.run(5*time.Second, 7.5)
+			worst = max(worst, r.fullest())
+		}
+		t.Logf("rate %.0f, burst %.0f: %.3f of the allowed requests", limit.Rate, limit.Burst, worst)
+		assert.Check(t, worst <= 1)
+	}
+}
