Keep requests from evacuated data centres

Ruled out: deciding by the order of records alone. Offsets of a restored store are not comparable with earlier ones, and its copy may lack a record. So an evacuation begins with any record that is read, and ends only with a complete read that proves what is newest.

Change: the records are read with the configuration; the set is held beside it and passed on by the adviser as an optional field. Entry nodes don't choose targets of evacuated data centres and count no capacity there; the node beside the target refuses late requests, also those in its queue, as not run. Only deployments with evacuate_ms are affected.

--- a/internal/caller/gateway/gateway.go
+++ b/internal/caller/gateway/gateway.go
@@ -214,6 +214,9 @@
 
 // admit applies rate limits and load shedding. It returns nil if the request is admitted. Child calls are not shed.
 func (g *Gateway) admit(q *request) *refusal {
+	if g.onlyEvacuated(q.route) {
+		return &refusal{http.StatusServiceUnavailable, executor.ReasonEvacuated, evacuatedRetryAfter}
+	}
 	if q.account != nil {
 		limit := windowlimiter.Limit{Rate: q.account.Rate, Burst: q.account.Burst}
 		if ok, retryAfter := g.RateLimits.Admit(q.account.Name, limit); !ok {
@@ -407,7 +410,8 @@
 func (g *Gateway) writeAnswer(q *request, a *transporter.Answer) {
 	switch {
 	case a.NotRun:
-		g.refuse(q, &refusal{http.StatusServiceUnavailable, a.Reason, retryAfter(a.Reason)})
+		reason := g.notRunReason(q, a.Reason)
+		g.refuse(q, &refusal{http.StatusServiceUnavailable, reason, retryAfter(reason)})
 		return
 	case a.Unknown && a.Reason == executor.ReasonAnswerTimeout:
 		g.refuse(q, &refusal{http.StatusGatewayTimeout, a.Reason, 0})
--- a/internal/caller/gateway/refusal.go
+++ b/internal/caller/gateway/refusal.go
@@ -39,6 +39,8 @@
 	switch reason {
 	case executor.ReasonRateLimited:
 		return rateLimitedRetryAfter
+	case executor.ReasonEvacuated:
+		return evacuatedRetryAfter
 	case executor.ReasonQuarantined:
 		return crashedRetryAfter
 	default:
--- a/internal/fleet/tracker/service.go
+++ b/internal/fleet/tracker/service.go
@@ -19,6 +19,7 @@
 	defer t.mu.Unlock()
 	sums := make([]Service, len(t.serviceNames))
 	known := make([]bool, len(t.serviceNames))
+	evacuated := t.evacuated()
 	for _, p := range t.peers {
 		if p.report.Sequence == 0 || t.reportOverdue(now, p) {
 			continue
@@ -29,7 +30,7 @@
 				known[d.service] = true
 			}
 		}
-		if p.State != Ready || !p.report.Up || p.report.Limit == 0 {
+		if p.State != Ready || evacuated[p.DataCentre] || !p.report.Up || p.report.Limit == 0 {
 			continue
 		}
 		i := t.serviceIndex(p.Service)
--- a/internal/fleet/tracker/tracker.go
+++ b/internal/fleet/tracker/tracker.go
@@ -71,6 +71,9 @@
 	DataCentre string
 	// ReportTimeout is the time without reports after which a node is suspect.
 	ReportTimeout time.Duration
+	// Evacuated, if set, returns the names of the evacuated data centres, whose targets get no requests. It is called
+	// while the lock is held.
+	Evacuated func() map[string]bool
 
 	mu    sync.Mutex
 	peers map[string]*peer
@@ -253,10 +256,11 @@
 	if len(peers) == 0 {
 		return list
 	}
+	evacuated := t.evacuated()
 	first := rand.IntN(len(peers))
 	for i := range peers {
 		p := peers[(first+i)%len(peers)]
-		if p.State != Ready || slices.Contains(tried, p.Node) || t.statements[p.incarnation()].leaving {
+		if p.State != Ready || evacuated[p.DataCentre] || slices.Contains(tried, p.Node) || t.statements[p.incarnation()].leaving {
 			continue
 		}
 		list = append(list, t.candidate(now, p, route))
--- a/internal/node/attendant/attendant.go
+++ b/internal/node/attendant/attendant.go
@@ -82,6 +82,9 @@
 type Attendant struct {
 	Settings platform.Settings
 	Log      *log.Logger
+	// OnEvacuationEnd, if set before Build, is called before the target gets requests again after the evacuation of its
+	// data centre, because the target may have become cold.
+	OnEvacuationEnd func()
 
 	Metrics    *metrics.Set
 	keeper     *keeper.Keeper
@@ -103,6 +106,9 @@
 	// targetLogLimiter limits the log lines on what the target says in its answers.
 	targetLogLimiter loglimiter.Limiter
 
+	// evacuations is nil in deployments without evacuations.
+	evacuations *keeper.Evacuations
+
 	// silentMembers is the number of members that share the rate limits and are not heard. Only shareLimits uses it and the
 	// fields below.
 	silentMembers   *metrics.Gauge
@@ -141,13 +147,14 @@
 	a.executor.OnStateChange = a.handleTargetState
 	a.isolator = &isolator.Isolator{Self: cfg.Node, Log: a.Log, Metrics: a.Metrics}
 	a.executor.Guard = a.isolator
+	a.buildEvacuations()
 	a.executor.OnSend = a.Metrics.NewCounter("target_requests_sent_total").Inc
 	wake := make(chan struct{}, 1)
 	a.copy = &distributor.Copy{Now: timekeeper.SinceBoot, OnQuestion: func(topic string, stale bool) bool { return a.watcher.HandleQuestion(topic, stale) }}
 	a.watcher = &watcher.Watcher{
 		Store:      &watcher.CountingStore{Store: platform.NewStore(cfg.StoreAddress), Metrics: a.Metrics},
 		Neighbours: distributor.NewClient(timekeeper.SinceBoot), Copy: a.copy, Metrics: a.Metrics,
-		MaxConfigAge: scale(cfg.Bounds.KeyRevocation, neighbourConfigShare), Keeper: a.keeper, Tracker: a.tracker,
+		MaxConfigAge: a.maxNeighbourAge(), Evacuations: a.evacuations, Keeper: a.keeper, Tracker: a.tracker,
 		Log: a.Log, Self: cfg.Node, ConfigWait: configPollTimeout, OnOwnMember: a.restoreTarget,
 		SettlePeriod: cfg.Bounds.ConfigApply, MaxSettlePeriod: cfg.Bounds.KeyRevocation,
 		OwnCosts: a.costRecord, OnStoredCosts: a.restoreCosts, OnEra: func() { notify(wake) },
@@ -155,7 +162,7 @@
 	}
 	a.poller = &adviser.Poller{
 		Keeper: a.keeper, Tracker: a.tracker, Log: a.Log, PollAfter: scale(cfg.Bounds.KeyRevocation, peerQueryShare), Wake: wake,
-		HTTP: adviser.NewHTTPClient(),
+		HTTP: adviser.NewHTTPClient(), Evacuations: a.evacuations, PollEvacuationsAfter: scale(cfg.Bounds.Evacuate, evacuationGoalShare),
 	}
 	a.Metrics.NewGauge("configuration_age_seconds", func() float64 { return a.keeper.Age(timekeeper.SinceBoot()).Seconds() })
 	a.gateway = a.newGateway(peers)
--- a/internal/node/attendant/report.go
+++ b/internal/node/attendant/report.go
@@ -30,6 +30,10 @@
 	a.demand = demand
 	service := a.executor.Target().Service
 	a.admittedShare = min(1, shares[service])
+	if a.isEvacuated() {
+		// Nothing is shed for the sake of this target, so its node need not report at the urgent interval.
+		a.admittedShare = 1
+	}
 	a.correction.Tick(now, services[service].Load)
 }
 
--- a/internal/node/attendant/server.go
+++ b/internal/node/attendant/server.go
@@ -105,7 +105,7 @@
 	ready := http.NewServeMux()
 	ready.HandleFunc("GET "+platform.ReadyPath, a.handleReady)
 	control := http.NewServeMux()
-	control.Handle(adviser.AdviserPathPrefix, (&adviser.Server{Keeper: a.keeper}).Handler())
+	control.Handle(adviser.AdviserPathPrefix, (&adviser.Server{Keeper: a.keeper, Evacuations: a.evacuations}).Handler())
 	control.Handle(distributor.DistributorPathPrefix, (&distributor.Server{Copy: a.copy, Topics: watcher.Topics}).Handler())
 	figures := http.NewServeMux()
 	figures.HandleFunc("/", a.writeMetrics)
--- a/internal/peer/adviser/adviser.go
+++ b/internal/peer/adviser/adviser.go
@@ -8,12 +8,14 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/phuslu/log"
 	"github.com/plantainwheel/plantainwheel/internal/fleet/tracker"
 	"github.com/plantainwheel/plantainwheel/internal/node/timekeeper"
 	"github.com/plantainwheel/plantainwheel/internal/peer/connector"
+	"github.com/plantainwheel/plantainwheel/internal/policy/evacuator"
 	"github.com/plantainwheel/plantainwheel/internal/route/keeper"
 )
 
@@ -27,6 +29,8 @@
 	fanOut = 3
 	// maxReplyBytes bounds a reply. A configuration is at most as large as a record of the store.
 	maxReplyBytes = 1 << 20
+	// maxAgeMs bounds the age in a reply, so that its conversion to nanoseconds does not overflow.
+	maxAgeMs = 1 << 40
 )
 
 // NewHTTPClient returns an HTTP client for Poller that bounds the size of replies.
@@ -35,6 +39,8 @@
 // Server answers queries from other nodes about the configuration.
 type Server struct {
 	Keeper *keeper.Keeper
+	// Evacuations, if not nil, holds the evacuated data centres, which are returned with the configuration.
+	Evacuations *keeper.Evacuations
 }
 
 // Handler returns the HTTP handler of the server.
@@ -51,6 +57,12 @@
 	if version > req.Version {
 		reply.Record = record
 	}
+	if list, age, ok := s.Evacuations.Proven(timekeeper.SinceBoot()); ok {
+		reply.Evacuations = &Evacuations{AgeMs: age.Milliseconds() + 1}
+		for _, e := range list {
+			reply.Evacuations.List = append(reply.Evacuations.List, &Evacuation{DataCentre: e.DataCentre, Offset: e.Offset})
+		}
+	}
 	return reply, nil
 }
 
@@ -62,11 +74,21 @@
 	Log     *log.Logger
 	// PollAfter is the age of the configuration above which other nodes are queried.
 	PollAfter time.Duration
+	// Evacuations, if not nil, holds the evacuated data centres. Other nodes are also queried when the set has not been
+	// confirmed for longer than PollEvacuationsAfter.
+	Evacuations          *keeper.Evacuations
+	PollEvacuationsAfter time.Duration
 	// Wake requests a query regardless of the age. It is sent a value when the store has been restored, because other
 	// nodes may know of a configuration that the store has lost.
 	Wake <-chan struct{}
+
+	// polledAt is the time at which the latest round of queries ended, in nanoseconds since the boot.
+	polledAt atomic.Int64
 }
 
+// PolledAt returns the time since the boot at which the latest round of queries ended, or 0 before the first one.
+func (p *Poller) PolledAt() time.Duration { return time.Duration(p.polledAt.Load()) }
+
 // Run checks the age periodically until the context is done.
 func (p *Poller) Run(ctx context.Context) {
 	ticker := time.NewTicker(checkInterval)
@@ -78,7 +100,8 @@
 		case <-p.Wake:
 			p.pollPeers(ctx)
 		case <-ticker.C:
-			if p.Keeper.Age(timekeeper.SinceBoot()) > p.PollAfter {
+			now := timekeeper.SinceBoot()
+			if p.Keeper.Age(now) > p.PollAfter || (p.Evacuations != nil && p.Evacuations.Age(now) > p.PollEvacuationsAfter) {
 				p.pollPeers(ctx)
 			}
 		}
@@ -100,6 +123,7 @@
 	for range n {
 		<-done
 	}
+	p.polledAt.Store(int64(timekeeper.SinceBoot()))
 }
 
 func (p *Poller) pollPeer(ctx context.Context, m tracker.Member) {
@@ -111,6 +135,7 @@
 	if err != nil {
 		return
 	}
+	p.adoptEvacuations(sentAt, reply.Evacuations)
 	applied, err := p.applyReply(sentAt, reply)
 	switch {
 	case err != nil:
@@ -120,6 +145,20 @@
 	}
 }
 
+// adoptEvacuations adopts the evacuated data centres in a reply to a query sent at the given time. Nodes of earlier
+// versions, and those that have no proof of their own, send none.
+func (p *Poller) adoptEvacuations(sentAt time.Duration, reply *Evacuations) {
+	if reply == nil {
+		return
+	}
+	list := make([]evacuator.Evacuation, 0, len(reply.List))
+	for _, e := range reply.List {
+		list = append(list, evacuator.Evacuation{DataCentre: e.GetDataCentre(), Offset: e.GetOffset()})
+	}
+	age := time.Duration(min(max(reply.AgeMs, 0), maxAgeMs)) * time.Millisecond
+	p.Evacuations.Adopt(timekeeper.SinceBoot(), sentAt-age, list)
+}
+
 // applyReply applies the configuration in the reply if that is newer. If the version in force is then the one in
 // the reply, applyReply confirms it. The reported age counts back from the time at which the request was sent, because
 // the other node cannot have read the age before then. It reports whether the configuration in force was replaced.
--- a/internal/platform/watcher/watcher.go
+++ b/internal/platform/watcher/watcher.go
@@ -14,6 +14,7 @@
 	"github.com/phuslu/log"
 	"github.com/plantainwheel/plantainwheel/internal/fleet/isolator"
 	"github.com/plantainwheel/plantainwheel/internal/fleet/tracker"
+	"github.com/plantainwheel/plantainwheel/internal/node/timekeeper"
 	"github.com/plantainwheel/plantainwheel/internal/peer/distributor"
 	"github.com/plantainwheel/plantainwheel/internal/policy/elector"
 	"github.com/plantainwheel/plantainwheel/internal/route/keeper"
@@ -91,6 +92,8 @@
 	OnStoredCosts func(tracker.NodeCosts)
 	// Quarantine, if set, receives the records of quarantined requests, which stand beside those of the members.
 	Quarantine Quarantine
+	// Evacuations, if not nil, receives the records of evacuated data centres, which stand beside the configuration.
+	Evacuations *keeper.Evacuations
 	// OnEra is called when the store has answered in an era for the first time.
 	OnEra func()
 
@@ -175,14 +178,19 @@
 func (w *Watcher) FollowConfig(ctx context.Context) {
 	t := w.newTopic(platform.ConfigTopic, w.ConfigWait, configNeighbourWait, w.MaxConfigAge)
 	t.apply, t.onApplied = w.applyConfig, w.confirmConfig
-	t.reset = func(map[string]bool) { w.storedVersion = 0 }
+	t.reset = func(map[string]bool) {
+		w.storedVersion = 0
+		w.Evacuations.Restart()
+	}
 	w.awaitMembers(ctx)
 	t.follow(ctx)
 }
 
 // applyConfig applies the configurations among the records. It returns false if the newest of them could not be
-// decoded, because the current configuration is then not the newest.
+// decoded, because the current configuration is then not the newest. Evacuations are applied first, so that no request
+// is placed by a first configuration without them.
 func (w *Watcher) applyConfig(records []platform.Record) bool {
+	w.applyEvacuations(records)
 	complete := true
 	for _, r := range records {
 		if r.Key != platform.ConfigKey || len(r.Value) == 0 {
@@ -206,8 +214,10 @@
 func (w *Watcher) confirmConfig(sentAt time.Duration, era platform.Era) {
 	_, inForce := w.Keeper.Record()
 	w.eras.setBehind(w.storedVersion < inForce)
+	w.Evacuations.Complete()
 	if w.eras.proves(sentAt, era) {
 		w.Keeper.Confirm(sentAt)
+		w.Evacuations.Confirm(timekeeper.SinceBoot(), sentAt)
 	}
 }
 
--- a/internal/target/executor/executor.go
+++ b/internal/target/executor/executor.go
@@ -35,6 +35,10 @@
 	ReasonCancelled        = "caller-left"
 	// ReasonQuarantined means that targets have crashed while they ran the request.
 	ReasonQuarantined = "quarantined"
+	// ReasonEvacuated means that the target's data centre is evacuated, ReasonEvacuationsUnknown that the node does not
+	// know yet whether it is.
+	ReasonEvacuated          = "evacuated"
+	ReasonEvacuationsUnknown = "evacuations-unknown"
 )
 
 // Reasons for reporting an unknown outcome.
@@ -136,6 +140,9 @@
 	OnSend        func()
 	// Guard, if set, withholds requests that crash targets.
 	Guard Guard
+	// Withhold, if set, returns why the target gets no requests at present, or "" if it does. It is called while the
+	// mutex is held.
+	Withhold func() string
 
 	mu               sync.Mutex
 	target           Target
@@ -194,7 +201,8 @@
 }
 
 // acquireSlot waits for a slot. It returns the reason if the job is refused, or "" if it got a slot. A queued
-// job that notify refuses gets ReasonQueueFull, even if the cause is that the target has left or is unreachable.
+// job that notify refuses gets ReasonQueueFull, even if the cause is that the target has left or is unreachable, unless
+// the target is withheld.
 func (e *Executor) acquireSlot(ctx context.Context, job *Job) string {
 	entry := &queuer.Entry{Rank: job.Rank, LatestStart: time.Now().Add(job.MaxWait)}
 	wait, reason := e.enqueue(job, entry)
@@ -206,7 +214,7 @@
 	select {
 	case admitted := <-wait:
 		if !admitted {
-			return ReasonQueueFull
+			return e.evictionReason()
 		}
 		return ""
 	case <-timer.C:
@@ -250,6 +258,9 @@
 
 // refusalReason returns why the target cannot accept requests for the expected incarnation, or "" if it can.
 func (e *Executor) refusalReason(now time.Time, expect string) string {
+	if reason := e.withheld(); reason != "" {
+		return reason
+	}
 	switch {
 	case e.target.ID == "" || e.target.Gone:
 		return ReasonNoTarget
@@ -405,7 +416,7 @@
 
 // canResend reports whether a request whose reused connection failed may be sent again.
 func (e *Executor) canResend(job *Job, err error) bool {
-	if !job.Request.Body.Repeatable() {
+	if !job.Request.Body.Repeatable() || e.withheld() != "" {
 		return false
 	}
 	if errors.Is(err, transporter.ErrNotSent) {
