Test evacuations of data centres

Ruled out: suspending a process in a test; the clock of suspensions can't be set without root, so the test of a resumed node makes its proof old instead.

--- a/internal/node/attendant/attendant_test.go
+++ b/internal/node/attendant/attendant_test.go
@@ -28,6 +28,8 @@
 type fleet struct {
 	t           *testing.T
 	serviceTime time.Duration
+	// dataCentres, if set, holds the data centre of each node, and turns evacuations on.
+	dataCentres []string
 	store       *storer.Store
 	server      *httptest.Server
 	nodes       []*attendant.Attendant
@@ -40,6 +42,14 @@
 func newFleetWithServiceTime(t *testing.T, n int, serviceTime time.Duration) *fleet {
 	t.Helper()
 	f := &fleet{t: t, serviceTime: serviceTime, store: &storer.Store{}}
+	f.run(n)
+	return f
+}
+
+// run starts n nodes.
+func (f *fleet) run(n int) {
+	t := f.t
+	t.Helper()
 	f.server = httptest.NewServer(f.store)
 	f.store.Put(platform.ConfigTopic, platform.ConfigKey, fmt.Appendf(nil, config, 1, "key"))
 	for i := range n {
@@ -59,7 +69,6 @@
 	for i := range n {
 		f.eventually("ready", func() bool { return f.get(i, platform.ReadyPath, "ready") == 200 })
 	}
-	return f
 }
 
 // start starts a node and its target on a separate loopback address.
@@ -77,6 +86,9 @@
 		ReportPort: ports[4], MetricsPort: ports[5], StoreAddress: strings.TrimPrefix(f.server.URL, "http://"),
 		Bounds: platform.Bounds{Drain: 2 * time.Second, Grace: 3 * time.Second, KeyRevocation: 5 * time.Second, ConfigApply: 600 * time.Millisecond, RetryShare: 0.2, RetryWindow: 10 * time.Second, RateWindow: 5 * time.Second},
 	}
+	if f.dataCentres != nil {
+		cfg.DataCentre, cfg.Bounds.Evacuate = f.dataCentres[i], evacuateBound
+	}
 	a := &attendant.Attendant{Settings: cfg, Log: attendant.NewLogger(io.Discard, cfg.Node)}
 	a.Build()
 	assert.NilError(f.t, a.Start())
--- a/internal/platform/watcher/neighbours_test.go
+++ b/internal/platform/watcher/neighbours_test.go
@@ -43,6 +43,8 @@
 	keeper  *keeper.Keeper
 	tracker *tracker.Tracker
 	watcher *watcher.Watcher
+	// evacuations holds what the node knows of evacuated data centres.
+	evacuations *keeper.Evacuations
 	// store and control serve the node's calls of the store, and the questions of other nodes.
 	store, control           *httptest.Server
 	storeFault, controlFault atomic.Int32
@@ -139,6 +141,7 @@
 	}))
 	d.t.Cleanup(func() { node.store.CloseClientConnections(); node.store.Close() })
 	node.keeper = &keeper.Keeper{Decode: platform.DecodeConfig}
+	node.evacuations = &keeper.Evacuations{}
 	node.tracker = &tracker.Tracker{Self: name, DataCentre: "dc", ReportTimeout: time.Minute}
 	copied := &distributor.Copy{Now: timekeeper.SinceBoot}
 	node.watcher = &watcher.Watcher{
@@ -148,7 +151,7 @@
 		SettlePeriod: 2 * time.Second, MaxSettlePeriod: 5 * time.Second,
 		Log:         &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}},
 		OnOwnMember: func(tracker.Member) {}, OwnCosts: func() tracker.NodeCosts { return tracker.NodeCosts{Node: name} },
-		OnStoredCosts: func(tracker.NodeCosts) {}, OnEra: func() {},
+		OnStoredCosts: func(tracker.NodeCosts) {}, OnEra: func() {}, Evacuations: node.evacuations,
 	}
 	copied.OnQuestion = node.watcher.HandleQuestion
 	d.nodes = append(d.nodes, node)
--- a/internal/platform/watcher/restore_test.go
+++ b/internal/platform/watcher/restore_test.go
@@ -50,7 +50,9 @@
 // run performs one step:
 //
 //	node                  starts the node
+//	compact               the store removes the records that are not the newest of their key, and all removals
 //	config N, noise N     the operator writes version N, or N records of other keys
+//	evacuate DC, lift DC  the operator evacuates the data centre, or lifts its evacuation
 //	member NODE STATE     another node writes its record
 //	publish STATE         the node publishes its own record
 //	mark, restore         makes the copy, restores the store from it
@@ -66,6 +68,9 @@
 //	keep NODE TIME        the member stays known for the time
 //	confirmed             the configuration becomes confirmed after the restore
 //	confirmed-in TIME     the configuration becomes confirmed within the time
+//	evacuated DC          the evacuation of the data centre comes into force
+//	in-use DC             the data centre is not evacuated any more
+//	remains DC TIME       the evacuation stays in force for the time
 //	unconfirmed TIME      the configuration is not confirmed after the restore for the time
 func (s *restoreScript) run(verb string, args []string) {
 	s.t.Helper()
@@ -78,6 +83,12 @@
 		for i := range s.number(args[0]) {
 			s.store.Put(platform.ConfigTopic, fmt.Sprint("noise-", i), []byte("x"))
 		}
+	case "evacuate":
+		s.store.Put(platform.ConfigTopic, platform.EvacuationKeyPrefix+args[0], []byte("{}"))
+	case "lift":
+		s.store.Put(platform.ConfigTopic, platform.EvacuationKeyPrefix+args[0], nil)
+	case "compact":
+		s.store.Compact(platform.ConfigTopic)
 	case "member":
 		raw, err := json.Marshal(tracker.Member{Node: args[0], Service: "x", State: tracker.State(args[1])})
 		assert.NilError(s.t, err)
@@ -126,6 +137,10 @@
 		began := time.Now()
 		s.eventually("configuration confirmed", s.confirmed)
 		assert.Assert(s.t, time.Since(began) < s.duration(args[0]), "confirmed after %s", time.Since(began))
+	case "evacuated", "in-use":
+		s.eventually(verb+" "+args[0], func() bool { return s.evacuated.Evacuated()[args[0]] == (verb == "evacuated") })
+	case "remains":
+		s.always("evacuated "+args[0], s.duration(args[1]), func() bool { return s.evacuated.Evacuated()[args[0]] })
 	case "unconfirmed":
 		s.always("configuration not confirmed", s.duration(args[0]), func() bool { return !s.confirmed() })
 	default:
--- a/internal/platform/watcher/watcher_test.go
+++ b/internal/platform/watcher/watcher_test.go
@@ -29,6 +29,7 @@
 	keeper    *keeper.Keeper
 	tracker   *tracker.Tracker
 	watcher   *watcher.Watcher
+	evacuated *keeper.Evacuations
 	ownMember chan tracker.Member
 	costs     chan tracker.NodeCosts
 }
@@ -44,6 +45,7 @@
 	server := httptest.NewServer(store)
 	f := &fixture{t: t, ownMember: make(chan tracker.Member, 1), costs: make(chan tracker.NodeCosts, 4)}
 	f.keeper = &keeper.Keeper{Decode: platform.DecodeConfig}
+	f.evacuated = &keeper.Evacuations{}
 	f.tracker = &tracker.Tracker{Self: "own", ReportTimeout: time.Minute}
 	f.watcher = &watcher.Watcher{
 		Store:  &platform.Store{Address: strings.TrimPrefix(server.URL, "http://"), HTTP: &http.Client{}},
@@ -56,6 +58,7 @@
 		},
 		OnStoredCosts: func(c tracker.NodeCosts) { f.costs <- c },
 		OnEra:         func() {},
+		Evacuations:   f.evacuated,
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
