Evacuate data centres in the soak

Cause: the soak knows no evacuations, so their rule was checked only without faults.

Ruled out: adding the kind to EveryKind; recorded seeds would get other plans.

Change: the kind evacuate-data-centre, drawn by default; the operator writes the state again after a restore. The checker reports requests that reach a target later than evacuate_ms after the acknowledgement, longer if the store was unstable (EVACUATE).

--- a/cmd/plantainwheel-soak/main.go
+++ b/cmd/plantainwheel-soak/main.go
@@ -95,6 +95,6 @@
 	case c.Bool("base-kinds"):
 		return injector.BaseKinds
 	default:
-		return injector.EveryKind
+		return injector.PresentKinds
 	}
 }
--- a/internal/soak/checker/checker.go
+++ b/internal/soak/checker/checker.go
@@ -68,6 +68,10 @@
 	Window time.Duration
 	Excess float64
 	Slack  float64
+	// Evacuate is the time from the store's acknowledgement of an evacuation until no request may reach a target of the
+	// data centre. EvacuateSkew is added to it if the store was unstable meanwhile.
+	Evacuate     time.Duration
+	EvacuateSkew time.Duration
 	// Contact is the time after which a target's limit must be kept.
 	Contact time.Duration
 	// ClockError is the tolerated error of the recorded times, which are all taken on one loaded machine.
@@ -96,6 +100,7 @@
 	drainingSince map[string]time.Time
 	targets       targetRecords
 	crashing      crashingRecords
+	evacuations   evacuationRecords
 }
 
 // RecordRequest records a request. It is called before the request is sent.
@@ -196,6 +201,7 @@
 	}
 	findings = append(findings, c.checkTargets()...)
 	findings = append(findings, c.checkCrashing()...)
+	findings = append(findings, c.checkEvacuations()...)
 	for account, limit := range c.Limits {
 		findings = append(findings, c.checkRate(account, limit)...)
 	}
--- a/internal/soak/injector/injector.go
+++ b/internal/soak/injector/injector.go
@@ -36,6 +36,7 @@
 	LimitTarget       Kind = "target-limit"
 	LeaveTarget       Kind = "target-leaves"
 	CrashingRequest   Kind = "crashing-request"
+	Evacuate          Kind = "evacuate-data-centre"
 )
 
 // BaseKinds are the kinds of faults that the recorded seeds draw from. A seed gives another plan with other kinds.
@@ -44,10 +45,13 @@
 	StoreUnavailable, StoreUnresponsive, RevokeKey, KillAll,
 }
 
-// AllKinds are the kinds of faults that further recorded seeds draw from, and EveryKind lists all kinds.
+// AllKinds are the kinds of faults that further recorded seeds draw from, EveryKind those of the latest ones, and PresentKinds
+// lists all kinds.
 var (
 	AllKinds  = append(slices.Clone(BaseKinds), RestoreStore, LimitTarget, LeaveTarget)
 	EveryKind = append(slices.Clone(AllKinds), CrashingRequest)
+
+	PresentKinds = append(slices.Clone(EveryKind), Evacuate)
 )
 
 // nodeKinds lists the faults that may keep one node from acting on what it has learned.
@@ -135,6 +139,11 @@
 	Report func(rule, text string)
 	// Disturbed receives the index of a node whenever a fault of the node or of its links begins or ends.
 	Disturbed func(node int)
+	// Evacuated receives when a data centre is evacuated and when that ends, Unstable when the store was unstable.
+	Evacuated func(dataCentre string, evacuated bool, at time.Time)
+	Unstable  func(begin, end time.Time)
+
+	evacuations evacuations
 }
 
 // Run injects each fault at its time and returns when all faults have ended. It injects no further faults after ctx
@@ -203,6 +212,8 @@
 		inj.RevokeKey()
 	case RestoreStore:
 		inj.restoreStore(s.For)
+	case Evacuate:
+		inj.evacuate(n.DataCentre(), s.For)
 	case CrashingRequest:
 		inj.sendCrashing(s)
 	case LimitTarget:
@@ -229,10 +240,15 @@
 // all nodes are started on the copy, and the operator writes the lost records again.
 func (inj *Injector) restoreStore(duration time.Duration) {
 	copiedAt := time.Now()
+	defer func() {
+		inj.rewriteEvacuations()
+		inj.Unstable(copiedAt, time.Now())
+	}()
 	inj.RevokeKey()
 	time.Sleep(minCopyAge + duration/2)
 	changes := duration%2 == 0
 	if !changes {
+		inj.pauseEvacuations()
 		inj.killAll()
 	}
 	inj.breakStore(storer.Faults{Hang: true}, duration/8)
@@ -276,9 +292,11 @@
 
 // breakStore injects faults into the store and revokes a key, a change that no node can read until the faults end.
 func (inj *Injector) breakStore(f storer.Faults, duration time.Duration) {
+	began := time.Now()
 	inj.Fleet.Store.SetFaults(f)
 	inj.RevokeKey()
 	time.Sleep(duration)
+	defer func() { inj.Unstable(began, time.Now()) }()
 	inj.Fleet.Store.SetFaults(storer.Faults{})
 }
 
--- a/internal/soak/injector/injector_test.go
+++ b/internal/soak/injector/injector_test.go
@@ -18,8 +18,8 @@
 	kinds := map[injector.Kind]bool{}
 	overlaps := 0
 	for seed := range uint64(20) {
-		steps := injector.Plan(seed, 5, 20*time.Second, injector.EveryKind)
-		assert.DeepEqual(t, steps, injector.Plan(seed, 5, 20*time.Second, injector.EveryKind))
+		steps := injector.Plan(seed, 5, 20*time.Second, injector.PresentKinds)
+		assert.DeepEqual(t, steps, injector.Plan(seed, 5, 20*time.Second, injector.PresentKinds))
 		for i, s := range steps {
 			kinds[s.Kind] = true
 			if i > 0 && steps[i-1].At+steps[i-1].For > s.At {
@@ -27,7 +27,7 @@
 			}
 		}
 	}
-	assert.Equal(t, len(kinds), 17)
+	assert.Equal(t, len(kinds), 18)
 	assert.Assert(t, overlaps > 100, "%d", overlaps)
 }
 
@@ -60,6 +60,8 @@
 		return injector.AllKinds
 	case "every":
 		return injector.EveryKind
+	case "present":
+		return injector.PresentKinds
 	default:
 		return []injector.Kind{injector.Kind(name)}
 	}
--- a/internal/soak/injector/soak.go
+++ b/internal/soak/injector/soak.go
@@ -103,7 +103,10 @@
 	clients.Go(func() { pause = longestPause(loadCtx) })
 	steps := Plan(s.Seed, s.Nodes, s.FaultPeriod, s.Kinds)
 	sleep(ctx, warmUpTime)
-	inj := &Injector{Fleet: s.fleet, Nodes: s.Nodes, RevokeKey: s.revokeKey, SendCrashing: s.sendCrashing, Report: s.report, Disturbed: s.checker.RecordDisturbance}
+	inj := &Injector{
+		Fleet: s.fleet, Nodes: s.Nodes, RevokeKey: s.revokeKey, SendCrashing: s.sendCrashing, Report: s.report, Disturbed: s.checker.RecordDisturbance,
+		Evacuated: s.checker.RecordEvacuation, Unstable: s.checker.RecordUnstableStore,
+	}
 	inj.Run(ctx, steps)
 	s.restore()
 	sleep(ctx, recoveryTime)
--- a/internal/soak/launcher/launcher.go
+++ b/internal/soak/launcher/launcher.go
@@ -39,6 +39,8 @@
 	revocationTime    = 5 * time.Second
 	configApplyTime   = 2 * time.Second
 	contactTime       = 3 * time.Second
+	evacuateTime      = 5 * time.Second
+	evacuateSkew      = time.Second
 	rateWindow        = 5 * time.Second
 	retryBudgetRatio  = 0.2
 	retryBudgetExtra  = 50
@@ -49,7 +51,7 @@
 func Bounds() checker.Bounds {
 	return checker.Bounds{
 		KeyRevocation: revocationTime, Drain: drainTime, Window: rateWindow, Excess: 0.1, Slack: 20,
-		Contact: contactTime, ClockError: 100 * time.Millisecond,
+		Evacuate: evacuateTime, EvacuateSkew: evacuateSkew, Contact: contactTime, ClockError: 100 * time.Millisecond,
 	}
 }
 
@@ -70,6 +72,7 @@
 type Node struct {
 	fleet           *Fleet
 	name            string
+	index           int
 	ip              string
 	dataCentre      string
 	ports           []int
@@ -142,7 +145,7 @@
 		return nil, err
 	}
 	n := &Node{
-		fleet: f, name: fmt.Sprint("vm-", i), ip: ip, dataCentre: fmt.Sprint("dc-", i%dataCentreCount), ports: ports,
+		fleet: f, name: fmt.Sprint("vm-", i), index: i, ip: ip, dataCentre: fmt.Sprint("dc-", i%dataCentreCount), ports: ports,
 	}
 	n.targetAddress = n.address(targetPort)
 	n.announceAddress = n.address(announcePort)
@@ -157,6 +160,9 @@
 
 func (n *Node) address(port int) string { return fmt.Sprint(n.ip, ":", n.ports[port]) }
 
+// DataCentre returns the name of the data centre of the node.
+func (n *Node) DataCentre() string { return n.dataCentre }
+
 // Outbound returns the address to which clients on the VM send their requests.
 func (n *Node) Outbound() string { return n.address(outboundPort) }
 
@@ -232,6 +238,7 @@
 grace_s = %g
 revoke_ms = %d
 config_apply_ms = %d
+evacuate_ms = %d
 budget_ratio = %g
 budget_window_s = %g
 budget_extra = %d
@@ -240,6 +247,7 @@
 		n.ports[firstRangePort], n.ports[lastRangePort],
 		n.address(inboundPort), n.address(outboundPort), n.address(readyPort), n.address(announcePort),
 		n.StoreRelay.Listen, drainTime.Milliseconds(), gracePeriod.Seconds(), revocationTime.Milliseconds(), configApplyTime.Milliseconds(),
+		evacuateTime.Milliseconds(),
 		retryBudgetRatio, retryBudgetWindow.Seconds(), retryBudgetExtra, rateWindow.Seconds())
 }
 
--- a/internal/soak/launcher/target.go
+++ b/internal/soak/launcher/target.go
@@ -185,6 +185,7 @@
 		return
 	}
 	t.checker.RecordArrival(id, t.id, time.Now())
+	t.checker.RecordTargetArrival(id, t.node.dataCentre, t.node.index, time.Now())
 	if !t.acquire() {
 		w.Header().Set(platform.NotRunHeader, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
