--- a/internal/route/matcher/matcher.go
+++ b/internal/route/matcher/matcher.go
@@ -49,6 +49,12 @@
 type Service struct {
 	Name     string
 	MaxConns int
+	// WarmUp is the time for which a target is cold after it has started during traffic.
+	WarmUp time.Duration
+	// ColdPerSecond is the number of requests per second that a cold target tolerates, or 0 if it is not limited.
+	ColdPerSecond float64
+	// HealthPath is the path of the targets' health endpoint, or empty.
+	HealthPath string
 }
 
 // Account is a client account.
@@ -75,13 +81,17 @@
 type Table struct {
 	Config Config
 
-	hosts map[string][]*Route
-	keys  map[[sha256.Size]byte]*Account
+	hosts    map[string][]*Route
+	keys     map[[sha256.Size]byte]*Account
+	services map[string]Service
 }
 
 // NewTable indexes a configuration.
 func NewTable(c Config) *Table {
-	t := &Table{Config: c, hosts: map[string][]*Route{}, keys: map[[sha256.Size]byte]*Account{}}
+	t := &Table{Config: c, hosts: map[string][]*Route{}, keys: map[[sha256.Size]byte]*Account{}, services: map[string]Service{}}
+	for _, s := range c.Services {
+		t.services[s.Name] = s
+	}
 	for i := range c.Routes {
 		r := &c.Routes[i]
 		host := strings.ToLower(r.Host)
@@ -117,6 +127,13 @@
 // duration of a lookup reveals nothing about the keys of other accounts.
 func (t *Table) Account(key string) *Account { return t.keys[sha256.Sum256([]byte(key))] }
 
+// Service returns the service of this name. It is zero but for the name if the configuration has none.
+func (t *Table) Service(name string) Service {
+	s := t.services[name]
+	s.Name = name
+	return s
+}
+
 // prioritySteps is the number of distinct priorities of a route within one account priority. It is larger than any
 // priority that operators use.
 const prioritySteps = 16
