Pace the requests to cold targets

Cause: a cold target crashes well above cold_per_s requests a second, and the node sent to it as to a warm one. Ruled out: taking the pace when a request gets its slot. A request may dial for 400 ms after that, and the target may be restarted meanwhile; the pace is taken when the connection is established. Also ruled out: an extension of the pacer for limits that targets name, whose limit may be lifted by any answer. Change: internal/policy/warmer; executor refuses what exceeds the pace with target-cold, doubts the target's condition after lost connections, after 4 s of silence and when told, and then asks the health endpoint, at most twice a second. The pool reports that all idle connections to an address were closed.

--- a/internal/caller/gateway/refusal.go
+++ b/internal/caller/gateway/refusal.go
@@ -37,7 +37,7 @@
 // retryAfter returns the retry delay for a request that has not run.
 func retryAfter(reason string) time.Duration {
 	switch reason {
-	case executor.ReasonRateLimited:
+	case executor.ReasonRateLimited, executor.ReasonCold:
 		return rateLimitedRetryAfter
 	case executor.ReasonQuarantined:
 		return crashedRetryAfter
--- a/internal/route/transporter/transporter.go
+++ b/internal/route/transporter/transporter.go
@@ -12,6 +12,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -27,6 +28,8 @@
 	// ErrNoAnswer means that the request was written at least in part and that no valid answer arrived, so the request
 	// may have run.
 	ErrNoAnswer = errors.New("request was sent but not answered")
+	// ErrWithheld is returned, together with ErrNotSent, if Request.BeforeSend has withheld the request.
+	ErrWithheld = errors.New("request was withheld")
 )
 
 const (
@@ -54,6 +57,9 @@
 	Host   string
 	Header http.Header
 	Body   Body
+	// BeforeSend, if set, is called when the connection is established, right before the request is written. The request
+	// is withheld if it returns false.
+	BeforeSend func() bool
 }
 
 // Body is the body of a request or an answer. It is in Buffered if it has been read in full, and in Stream otherwise.
@@ -119,6 +125,8 @@
 	UnackedTimeout time.Duration
 	// OnDial, if set, is called each time a connection is opened.
 	OnDial func()
+	// OnAllClosed, if set, is called when idle connections to an address turn out to be closed and no idle one is left open.
+	OnAllClosed func(address string)
 	// Dial, if set, opens the connections.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
@@ -200,6 +208,13 @@
 			return nil, false, fmt.Errorf("%w: %w", ErrNotSent, err)
 		}
 	}
+	if r.BeforeSend != nil && !r.BeforeSend() {
+		if reused {
+			pc.conn.Release()
+		}
+		p.put(address, pc)
+		return nil, reused, fmt.Errorf("%w: %w", ErrNotSent, ErrWithheld)
+	}
 	writtenBefore := pc.counter.written.Load()
 	resp, err = pc.conn.RoundTrip(r.http(ctx, address))
 	if err != nil {
@@ -244,6 +259,8 @@
 // take removes the most recently used open connection from the pool and returns it. It returns nil if there is none
 // that has been idle for less than maxIdle.
 func (p *Pool) take(address string, maxIdle time.Duration) *pooledConn {
+	allClosed := false
+	defer func() { p.reportClosed(address, allClosed) }()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[address]
@@ -258,10 +275,22 @@
 			return pc
 		}
 		_ = pc.conn.Close()
+		allClosed = !anyOpen(list)
 	}
 	return nil
 }
 
+func anyOpen(list []*pooledConn) bool {
+	return slices.ContainsFunc(list, func(pc *pooledConn) bool { return pc.conn.Err() == nil })
+}
+
+// reportClosed calls OnAllClosed if closed is set. The pool's mutex must not be held.
+func (p *Pool) reportClosed(address string, closed bool) {
+	if closed && p.OnAllClosed != nil {
+		p.OnAllClosed(address)
+	}
+}
+
 // put returns a connection to the pool and closes the least recently used one if the pool holds too many.
 func (p *Pool) put(address string, pc *pooledConn) {
 	pc.lastUsed = time.Now()
@@ -278,9 +307,18 @@
 // CloseExpired closes the connections that have been idle for longer than IdleTimeout or that the peer has closed.
 func (p *Pool) CloseExpired() {
 	p.once.Do(p.start)
+	var closed []string
+	defer func() {
+		for _, address := range closed {
+			p.reportClosed(address, true)
+		}
+	}()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for address, list := range p.idle {
+		if len(list) > 0 && !anyOpen(list) {
+			closed = append(closed, address)
+		}
 		remaining := list[:0]
 		for _, pc := range list {
 			if pc.conn.Err() != nil || time.Since(pc.lastUsed) > p.IdleTimeout {
--- a/internal/target/executor/executor.go
+++ b/internal/target/executor/executor.go
@@ -17,6 +17,7 @@
 	"github.com/plantainwheel/plantainwheel/internal/policy/queuer"
 	"github.com/plantainwheel/plantainwheel/internal/policy/regulator"
 	"github.com/plantainwheel/plantainwheel/internal/policy/retrier"
+	"github.com/plantainwheel/plantainwheel/internal/policy/warmer"
 	"github.com/plantainwheel/plantainwheel/internal/route/transporter"
 	"github.com/plantainwheel/plantainwheel/platform"
 )
@@ -30,6 +31,7 @@
 	ReasonQueueFull        = "queue-full"
 	ReasonQueueTimeout     = "waited-too-long"
 	ReasonRateLimited      = "target-rate-limited"
+	ReasonCold             = "target-cold"
 	ReasonDeadlinePassed   = "deadline-passed"
 	ReasonTargetShed       = "target-shed"
 	ReasonCancelled        = "caller-left"
@@ -109,6 +111,8 @@
 	// Paced reports whether no request can begin at present because of the limit that the target has named. Limit is
 	// then also bounded by the requests that run at once at that rate.
 	Paced bool
+	// Cold reports whether the target is cold or possibly cold and therefore paced.
+	Cold bool
 	// CrashedAt is when the target was last found to have crashed, or zero.
 	CrashedAt time.Time
 }
@@ -136,6 +140,8 @@
 	OnSend        func()
 	// Guard, if set, withholds requests that crash targets.
 	Guard Guard
+	// ColdTerms, if set, returns what applies to cold targets of a service. It must not block.
+	ColdTerms func(service string) ColdTerms
 
 	mu               sync.Mutex
 	target           Target
@@ -144,6 +150,9 @@
 	unreachableUntil time.Time
 	queue            queuer.Queue
 	pacer            pacer.Pacer
+	warmer           warmer.Warmer
+	healthPath       string
+	announcedCold    bool
 	holdTime         time.Duration
 	waiters          map[*queuer.Entry]waiter
 	meter            regulator.Meter
@@ -228,10 +237,14 @@
 	if job.KnownLimit > 0 {
 		e.pacer.Adopt(now, job.KnownLimit)
 	}
-	if e.pacer.Delay(now, e.queue.Ahead(job.Rank)) > job.MaxWait {
+	ahead := e.queue.Ahead(job.Rank)
+	if e.pacer.Delay(now, ahead) > job.MaxWait {
 		return nil, ReasonRateLimited
 	}
-	admitted, refused := e.queue.Offer(entry, e.pacer.Available(now))
+	if e.warmer.Delay(now, ahead) > job.MaxWait {
+		return nil, ReasonCold
+	}
+	admitted, refused := e.queue.Offer(entry, e.available(now))
 	defer e.observeLoad(now)
 	if admitted {
 		e.begin(now, job.Route)
@@ -267,6 +280,7 @@
 // begin records that a job of the route has got a slot.
 func (e *Executor) begin(now time.Time, route string) {
 	e.pacer.Take(now)
+	e.warmer.Reserve()
 	e.estimator.RecordStart(now, route)
 }
 
@@ -292,6 +306,7 @@
 		return reason
 	}
 	if <-wait {
+		e.warmer.Release()
 		e.estimator.RecordEnd(now, job.Route)
 		e.releaseSlot(now)
 	}
@@ -319,7 +334,7 @@
 
 // startWaiting starts queued jobs up to the limits and refuses those that exceeded their maximum wait.
 func (e *Executor) startWaiting(now time.Time) {
-	admitted, expired := e.queue.StartQueued(now, e.pacer.Available(now))
+	admitted, expired := e.queue.StartQueued(now, e.available(now))
 	for _, entry := range admitted {
 		e.notify(now, entry, true)
 	}
@@ -330,14 +345,22 @@
 }
 
 // usableSlots returns the number of requests that the target can run at once on average.
-func (e *Executor) usableSlots() int { return e.pacer.Slots(e.queue.Limit, e.holdTime) }
+func (e *Executor) usableSlots(now time.Time) int {
+	return e.warmer.Slots(now, e.pacer.Slots(e.queue.Limit, e.holdTime), e.holdTime)
+}
+
+// available returns the number of requests that may begin now besides their need of a slot.
+func (e *Executor) available(now time.Time) int {
+	return min(e.pacer.Available(now), e.warmer.Available(now))
+}
 
 func (e *Executor) observeLoad(now time.Time) {
-	e.meter.Observe(now, e.queue.Running(), e.queue.Waiting(), e.usableSlots())
+	e.meter.Observe(now, e.queue.Running(), e.queue.Waiting(), e.usableSlots(now))
 }
 
 // run sends the job to the target.
 func (e *Executor) run(ctx context.Context, job *Job) *transporter.Answer {
+	defer e.gate(job)()
 	remaining := time.Until(job.Deadline)
 	if remaining < minRemainingTime {
 		return transporter.NotRunAnswer(ReasonDeadlinePassed)
@@ -356,24 +379,30 @@
 	if err != nil {
 		ctxDone := ctx.Err() != nil
 		cancel()
+		e.recordLostConnection(err, ctxDone)
 		return e.endLostRun(sent, &target, err, e.failureAnswer(err, ctxDone))
 	}
 	if isOwnAnswer(resp, job) {
 		e.learn(&target, platform.DecodeTargetState(resp.Header))
 	}
-	return e.endRun(sent, &target, readAnswer(resp, job, cancel))
+	answer := readAnswer(resp, job, cancel)
+	if answer.Unknown {
+		e.recordLostConnection(transporter.ErrNoAnswer, time.Now().After(job.Deadline))
+	}
+	return e.endRun(sent, &target, answer)
 }
 
 // sendAndResend sends the job, and once more if its reused connection turned out to be closed.
 func (e *Executor) sendAndResend(ctx context.Context, target *Target, job *Job, maxIdle time.Duration) (*http.Response, error) {
 	resp, reused, err := e.send(ctx, target, job, maxIdle)
-	if err == nil || !reused || ctx.Err() != nil || !e.canResend(job, err) {
+	if err == nil || !reused || ctx.Err() != nil || errors.Is(err, transporter.ErrWithheld) || !e.canResend(job, err) {
 		return resp, err
 	}
+	e.recordLostConnection(err, false)
 	resp, _, again := e.send(ctx, target, job, 0)
 	if errors.Is(again, transporter.ErrNotSent) && !errors.Is(err, transporter.ErrNotSent) {
 		// The target may have run the request when it was sent first.
-		if ctx.Err() == nil {
+		if ctx.Err() == nil && !errors.Is(again, transporter.ErrWithheld) {
 			e.markUnreachable()
 		}
 		return nil, err
@@ -423,6 +452,9 @@
 // failureAnswer returns the answer for a failed send. ctxDone is true if the deadline had passed or the caller
 // had cancelled.
 func (e *Executor) failureAnswer(err error, ctxDone bool) *transporter.Answer {
+	if errors.Is(err, transporter.ErrWithheld) {
+		return transporter.NotRunAnswer(ReasonCold)
+	}
 	if errors.Is(err, transporter.ErrNotSent) {
 		if !ctxDone {
 			e.markUnreachable()
--- a/internal/target/executor/target.go
+++ b/internal/target/executor/target.go
@@ -47,6 +47,7 @@
 		Gone:      !newIncarnation && old.Gone,
 		WarmUpEnd: now.Add(a.WarmUp),
 	}
+	coldChanged := e.recordAnnouncedWarmUp(now, &a, newIncarnation)
 	if newIncarnation {
 		ended = e.collectCrash(&old)
 		e.runs.reset()
@@ -59,7 +60,7 @@
 	e.refuseWaitingIfLeaving(now)
 	e.startWaiting(now)
 	t := e.target
-	changed = newIncarnation || old.Draining != t.Draining || old.Gone != t.Gone || old.Slots != t.Slots || old.Service != t.Service || old.Version != t.Version
+	changed = newIncarnation || old.Draining != t.Draining || old.Gone != t.Gone || old.Slots != t.Slots || old.Service != t.Service || old.Version != t.Version || coldChanged
 	return changed, true
 }
 
@@ -133,11 +134,12 @@
 	return Load{
 		Running:     e.queue.Running(),
 		Waiting:     e.queue.Waiting(),
-		Limit:       e.usableSlots(),
+		Limit:       e.usableSlots(now),
 		Mean:        e.meter.Mean(now),
 		FailureRate: e.decayedFailureRate(now),
 		Up:          e.refusalReason(now, "") == "",
-		Paced:       e.pacer.Available(now) == 0,
+		Paced:       e.available(now) == 0,
+		Cold:        e.warmer.Cold(now),
 		CrashedAt:   e.crashedAt,
 	}
 }
@@ -147,6 +149,7 @@
 	now := time.Now()
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.tickCold(now)
 	e.startWaiting(now)
 }
 
