Place by the small capacity of cold targets

Cause: other nodes took the slots of a cold target for its capacity until its next report, and its refusals for the news. Ruled out: a field of its own in reports; the limit of the load says it already.

--- a/internal/fleet/tracker/tracker.go
+++ b/internal/fleet/tracker/tracker.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/plantainwheel/plantainwheel/internal/policy/placer"
+	"github.com/plantainwheel/plantainwheel/internal/policy/warmer"
 )
 
 // State is the lifecycle state of a target.
@@ -71,6 +72,9 @@
 	DataCentre string
 	// ReportTimeout is the time without reports after which a node is suspect.
 	ReportTimeout time.Duration
+	// ColdPerSecond, if set, returns the number of requests per second that a cold target of the service tolerates, or 0 if
+	// it is not limited.
+	ColdPerSecond func(service string) float64
 
 	mu    sync.Mutex
 	peers map[string]*peer
@@ -305,9 +309,20 @@
 		c.Suspect = c.Suspect || !p.report.Up
 	}
 	c.HoldTime = holdTimeOf(t.expectedCosts(p), route)
+	if c.WarmingUp && t.ColdPerSecond != nil {
+		limitCold(&c, t.ColdPerSecond(p.Service))
+	}
 	return c
 }
 
+// limitCold reduces the limit of a target that warms up to the requests that run at once at its pace. The target's report
+// may be from before it became cold, or lack.
+func limitCold(c *placer.Candidate, perSecond float64) {
+	if perSecond > 0 {
+		c.Limit = warmer.Slots(perSecond, c.Limit, c.HoldTime)
+	}
+}
+
 // holdTimeOf returns the hold time of the route, or 0 if unknown.
 func holdTimeOf(costs []RouteCosts, route string) time.Duration {
 	for _, r := range costs {
--- a/internal/fleet/tracker/tracker_test.go
+++ b/internal/fleet/tracker/tracker_test.go
@@ -223,3 +223,22 @@
 	assert.Equal(t, names("x"), "new own")
 	assert.Equal(t, len(tr.OtherMembers()), 2)
 }
+
+// TestColdTarget guards against requests that are placed on a cold target by its slots, or by a report from before it became
+// cold.
+func TestColdTarget(t *testing.T) {
+	tr := newTracker()
+	now := time.Now()
+	tr.ColdPerSecond = func(string) float64 { return 15 }
+	costs := []tracker.RouteCosts{{Route: "r", HoldMs: 200}}
+	tr.ApplyReport(now, &tracker.Report{Node: "far", Started: 1, Sequence: 1, Target: "i-far", Limit: 57, Up: true, RouteCosts: costs})
+	assert.Equal(t, candidate(t, tr, now, "far").Limit, 57)
+	m, _ := tr.Member("far")
+	m.WarmUpEndMs = now.Add(time.Minute).UnixMilli()
+	tr.SetMember(m)
+	c := candidate(t, tr, now, "far")
+	assert.Equal(t, c.Limit, 3)
+	c.Running = 3
+	assert.Equal(t, placer.Choose([]placer.Candidate{c, {Node: "other", Running: 40, Limit: 57, HoldTime: c.HoldTime}}), 1)
+	assert.Equal(t, candidate(t, tr, now.Add(2*time.Minute), "far").Limit, 10, "slots of the record")
+}
--- a/internal/node/attendant/attendant.go
+++ b/internal/node/attendant/attendant.go
@@ -109,6 +109,9 @@
 	someSilent      bool
 	silenceLoggedAt time.Time
 
+	// targetCold is the condition of the target that was last logged. Only logCold uses it.
+	targetCold bool
+
 	// totalCosts holds the costs of requests at the time costsAt. Only plan uses them.
 	totalCosts allocator.TotalCosts
 	costsAt    time.Time
@@ -141,6 +144,7 @@
 	a.executor.OnStateChange = a.handleTargetState
 	a.isolator = &isolator.Isolator{Self: cfg.Node, Log: a.Log, Metrics: a.Metrics}
 	a.executor.Guard = a.isolator
+	a.observeCold(targets)
 	a.executor.OnSend = a.Metrics.NewCounter("target_requests_sent_total").Inc
 	wake := make(chan struct{}, 1)
 	a.copy = &distributor.Copy{Now: timekeeper.SinceBoot, OnQuestion: func(topic string, stale bool) bool { return a.watcher.HandleQuestion(topic, stale) }}
@@ -237,6 +241,7 @@
 			return
 		case now := <-ticker.C:
 			a.executor.Tick()
+			a.logCold()
 			if now.Sub(lastPlan) >= planInterval {
 				lastPlan = now
 				a.plan(now)
--- a/internal/node/attendant/report.go
+++ b/internal/node/attendant/report.go
@@ -92,7 +92,7 @@
 // or the node has just started.
 func (a *Attendant) urgent() bool {
 	load := a.executor.Load()
-	if time.Since(a.started) < startupUrgentPeriod || time.Since(load.CrashedAt) < crashUrgentPeriod || load.Mean > urgentLoad {
+	if time.Since(a.started) < startupUrgentPeriod || time.Since(load.CrashedAt) < crashUrgentPeriod || load.Mean > urgentLoad || load.Cold {
 		return true
 	}
 	a.planMu.Lock()
--- a/internal/target/executor/cold.go
+++ b/internal/target/executor/cold.go
@@ -133,5 +133,6 @@
 	}
 	e.warmer.Answered(now, asked, warmUp)
 	e.target.WarmUpEnd = now.Add(warmUp)
+	e.unreachableUntil = time.Time{}
 	e.startWaiting(now)
 }
