Test requests that are dialling when the target turns cold

Cause: without the check right before a request is written all other tests pass. Ruled out: relying on the pace at the queue; those requests have left it. Change: fifty requests in a blocked dial while the target becomes possibly cold. Measurement: at most 3 arrive; without the check all 50 do and the test fails.

--- a/internal/policy/warmer/warmer_test.go
+++ b/internal/policy/warmer/warmer_test.go
@@ -73,8 +73,12 @@
 // TestTightTerms guards against a pace that exceeds the bound, or never begins, where the settings leave little room.
 func TestTightTerms(t *testing.T) {
 	for _, terms := range []warmer.Terms{
-		{PerSecond: 15, Excess: 1}, {PerSecond: 1, Excess: 1.5}, {PerSecond: 0.5, Excess: 1, Slack: 3}, {PerSecond: 400, Excess: 1.1},
-		{PerSecond: 15, Slack: 8}, {PerSecond: 2, Excess: 1},
+		{PerSecond: 15, Excess: 1},
+		{PerSecond: 1, Excess: 1.5},
+		{PerSecond: 0.5, Excess: 1, Slack: 3},
+		{PerSecond: 400, Excess: 1.1},
+		{PerSecond: 15, Slack: 8},
+		{PerSecond: 2, Excess: 1},
 	} {
 		w := restarted(at(0), terms)
 		var sent []time.Time
--- a/internal/target/executor/cold_test.go
+++ b/internal/target/executor/cold_test.go
@@ -283,3 +283,35 @@
 	assert.Assert(t, busiest <= coldBound && total > 0, "%d requests, %d in a second", total, busiest)
 	assert.Equal(t, f.cold.healthRequests(), 1)
 }
+
+// TestTurnsColdDuringDial guards against requests that got their slots while the target was warm and reach it when it has
+// returned cold, since their connections take long to open.
+func TestTurnsColdDuringDial(t *testing.T) {
+	f := newColdFixture(t, 15, 0)
+	f.cold.warmUpMs.Store(60_000)
+	var dialling atomic.Int32
+	open := make(chan struct{})
+	f.pool.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+		dialling.Add(1)
+		<-open
+		return (&net.Dialer{}).DialContext(ctx, network, address)
+	}
+	var jobs sync.WaitGroup
+	var refused atomic.Int32
+	for i := range 50 {
+		jobs.Go(func() {
+			if a := f.do(fmt.Sprint(i), false); a.NotRun && a.Reason == executor.ReasonCold {
+				refused.Add(1)
+			}
+		})
+	}
+	for dialling.Load() < 50 {
+		time.Sleep(time.Millisecond)
+	}
+	f.executor.MarkPossiblyCold()
+	close(open)
+	jobs.Wait()
+	total, _ := f.cold.since(time.Time{})
+	assert.Assert(t, total <= 3, "%d requests at once", total)
+	assert.Equal(t, int(refused.Load()), 50-total)
+}
