Tell callers that all targets tried are cold

Cause: a request that each target of a small service had refused as cold ended as no-target-left, with the short time to retry. Ruled out: keeping the last reason of every kind; operators know no-target-left for the others.

--- a/internal/caller/gateway/gateway.go
+++ b/internal/caller/gateway/gateway.go
@@ -260,17 +260,20 @@
 // place sends the request to one target after another until a target has answered or the request may not be placed
 // again.
 func (g *Gateway) place(q *request) *transporter.Answer {
-	lost := ""
+	lost, cold := "", false
 	for n := 0; ; n++ {
 		answer := g.attempt(q)
 		if answer.Unknown {
 			lost = answer.Reason
 		}
+		cold = cold || answer.Reason == executor.ReasonCold
 		switch {
 		case g.mayRepeat(q, answer, n):
 		case answer.NotRun && lost != "":
 			// An earlier target may have run the request.
 			return transporter.UnknownAnswer(lost)
+		case cold && answer.NotRun && answer.Reason == reasonNoTarget:
+			return transporter.NotRunAnswer(executor.ReasonCold)
 		default:
 			return answer
 		}
--- a/internal/node/attendant/attendant_test.go
+++ b/internal/node/attendant/attendant_test.go
@@ -75,7 +75,7 @@
 		Node: fmt.Sprint("vm-", i), IP: ip, DataCentre: "dc", Service: "x", TargetAddress: address,
 		OutboundListen: at(0), InboundListen: at(1), ReadyListen: at(2), AnnounceListen: at(3),
 		ReportPort: ports[4], MetricsPort: ports[5], StoreAddress: strings.TrimPrefix(f.server.URL, "http://"),
-		Bounds: platform.Bounds{Drain: 2 * time.Second, Grace: 3 * time.Second, KeyRevocation: 5 * time.Second, ConfigApply: 600 * time.Millisecond, RetryShare: 0.2, RetryWindow: 10 * time.Second, RateWindow: 5 * time.Second},
+		Bounds: platform.Bounds{Drain: 2 * time.Second, Grace: 3 * time.Second, KeyRevocation: 5 * time.Second, ConfigApply: 600 * time.Millisecond, RetryShare: 0.2, RetryWindow: 10 * time.Second, RateWindow: 5 * time.Second, ColdExcess: 1.5, ColdSlack: 8},
 	}
 	a := &attendant.Attendant{Settings: cfg, Log: attendant.NewLogger(io.Discard, cfg.Node)}
 	a.Build()
