Keep as many connections to the target as it has slots, and choose among them

Cause: at most 48 idle connections to an address were kept while targets have up to 310 slots, and requests that may be repeated took the most recently used ones, so that those that may run only once (250 ms of idle time at most) needed new ones. The idle time was counted from when the answer had been read, which is too late for a streamed answer or after the process was suspended.

Ruled out: a fixed larger bound (memory and max_conns do not bear it everywhere); old connections never used (a new one for each request at low load); newest first for all requests.

Change: the bound follows from slots, max_conns, memory and file descriptors. Requests that may be repeated take the longest idle connection that Keep-Alive allows. After a request was lost on an idle connection, connections idle for 0.8 as long are not used for 3 s. Idle time counts from the beginning of the answer, and the kernel confirms it for requests that may run only once. New connections are counted by reason (target_connections_opened_by_reason_total). Pools between nodes behave as before. The pool's list moved to a file of its own.

--- a/internal/node/attendant/attendant.go
+++ b/internal/node/attendant/attendant.go
@@ -55,8 +55,6 @@
 	costsInterval = 500 * time.Millisecond
 	// housekeepingInterval is the interval at which idle connections are closed and the load is logged.
 	housekeepingInterval = time.Second
-	// targetIdleTimeout is how long an idle connection to the target is kept open.
-	targetIdleTimeout = 6 * time.Second
 	// refusedLinesPerSecond and servedLinesPerSecond limit the log lines for refused requests and for a sample of
 	// the served ones. A line costs about 3 us, so that logging uses less than a thousandth of a core.
 	refusedLinesPerSecond = 20
@@ -94,6 +92,7 @@
 	reporter   *reporter.Reporter
 	poller     *adviser.Poller
 	pools      []*transporter.Pool
+	targets    *transporter.Pool
 	servers    []*server
 	ready      atomic.Bool
 	started    time.Time
@@ -134,7 +133,8 @@
 	a.targetLogLimiter.PerSecond = targetLinesPerSecond
 	a.keeper = &keeper.Keeper{Decode: platform.DecodeConfig}
 	a.tracker = &tracker.Tracker{Self: cfg.Node, DataCentre: cfg.DataCentre, ReportTimeout: nodeSilenceTimeout}
-	targets := &transporter.Pool{IdleTimeout: targetIdleTimeout, OnDial: a.Metrics.NewCounter("target_connections_opened_total").Inc}
+	targets := executor.NewPool(a.Metrics)
+	a.targets = targets
 	peers := forwarder.NewPool()
 	a.pools = []*transporter.Pool{targets, peers}
 	a.executor = executor.New(targets)
@@ -276,10 +276,24 @@
 	for _, p := range a.pools {
 		p.CloseExpired()
 	}
+	a.boundConnections()
 	a.isolator.Tick()
 	a.logLoad()
 }
 
+// boundConnections derives the number of connections to the target from its announcement, the configuration and the VM.
+func (a *Attendant) boundConnections() {
+	target, maxConns := a.executor.Target(), 0
+	if table := a.keeper.Table(); table != nil {
+		for i := range table.Config.Services {
+			if s := &table.Config.Services[i]; s.Name == target.Service {
+				maxConns = s.MaxConns
+			}
+		}
+	}
+	a.targets.SetMaxIdle(executor.MaxConnections(target.Slots, maxConns, a.Settings.MemoryMB))
+}
+
 // restoreTarget restores the target's state from the member record of an earlier process of this node.
 func (a *Attendant) restoreTarget(m tracker.Member) {
 	a.executor.RestoreTarget(executor.Target{
--- a/internal/route/transporter/transporter.go
+++ b/internal/route/transporter/transporter.go
@@ -40,8 +40,8 @@
 	keepAliveCount    = 2
 	// maxHeaderBytes is the maximum size of the header of an answer.
 	maxHeaderBytes = 64 << 10
-	// maxIdlePerAddress is the maximum number of idle connections to one address.
-	maxIdlePerAddress = 48
+	// defaultMaxIdle is the maximum number of idle connections to one address until SetMaxIdle is called.
+	defaultMaxIdle = 48
 	// receiveBytes is the size of the kernel's receive buffer of a connection. The kernel would otherwise let it grow to
 	// several MB for each download that the caller reads slowly. It allows 28 MB/s at a round trip of 9 ms.
 	receiveBytes = 256 << 10
@@ -121,20 +121,31 @@
 	// connection that has failed without being closed.
 	UnackedTimeout time.Duration
 	// OnDial, if set, is called each time a connection is opened.
-	OnDial func()
+	OnDial func(DialReason)
+	// FreshIdle, if set, is the idle time up to which connections are kept for requests that may run only once. Send takes
+	// the longest idle connection for a request with a larger maxIdle, and the most recently used one for all others.
+	FreshIdle time.Duration
 	// Dial, if set, opens the connections.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
 	once      sync.Once
 	transport *http.Transport
+	maxIdle   atomic.Int64
+	maxOpen   atomic.Int64
 	mu        sync.Mutex
-	idle      map[string][]*pooledConn
+	addresses map[string]*connections
 }
 
 type pooledConn struct {
-	conn     *http.ClientConn
-	counter  *countedConn
+	conn    *http.ClientConn
+	counter *countedConn
+	// lastUsed is when the last answer began. The peer may have sent the end of a streamed answer long before it was read.
 	lastUsed time.Time
+	// keepAlive is the last Keep-Alive header, and maxIdle the idle time that it allows, or 0 if it states none.
+	keepAlive string
+	maxIdle   time.Duration
+	// reusedAfter is the idle time that preceded the current request.
+	reusedAfter time.Duration
 }
 
 // countedConn counts the calls of Write, so that Send can tell whether any byte of a request may have been written.
@@ -162,7 +173,7 @@
 		}
 		dial = dialer.DialContext
 	}
-	p.idle = map[string][]*pooledConn{}
+	p.addresses = map[string]*connections{}
 	p.transport = &http.Transport{
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: maxHeaderBytes,
@@ -197,22 +208,27 @@
 // only if the connection has been idle for less than maxIdle. The result reused reports whether it did so.
 func (p *Pool) Send(ctx context.Context, address string, r *Request, maxIdle time.Duration) (resp *http.Response, reused bool, err error) {
 	p.once.Do(p.start)
-	pc := p.take(address, maxIdle)
+	pc, reason := p.take(address, maxIdle)
 	reused = pc != nil
 	if pc == nil {
-		if pc, err = p.dial(ctx, address); err != nil {
+		if pc, err = p.dial(ctx, address, reason); err != nil {
 			return nil, false, fmt.Errorf("%w: %w", ErrNotSent, err)
 		}
 	}
 	writtenBefore := pc.counter.written.Load()
 	resp, err = pc.conn.RoundTrip(r.http(ctx, address))
 	if err != nil {
-		_ = pc.conn.Close()
 		if pc.counter.written.Load() == writtenBefore {
+			p.discard(address, pc, ClosedByTarget)
 			return nil, reused, fmt.Errorf("%w: %w", ErrNotSent, err)
 		}
+		p.discard(address, pc, Broken)
+		if reused && ctx.Err() == nil {
+			p.distrust(address, pc)
+		}
 		return nil, reused, fmt.Errorf("%w: %w", ErrNoAnswer, err)
 	}
+	pc.answered(resp.Header)
 	resp.Body = &pooledBody{ReadCloser: resp.Body, pool: p, address: address, pc: pc}
 	return resp, reused, nil
 }
@@ -222,7 +238,7 @@
 func (p *Pool) Probe(ctx context.Context, address string) error {
 	p.once.Do(p.start)
 	if p.OnDial != nil {
-		p.OnDial()
+		p.OnDial(Probing)
 	}
 	conn, err := p.transport.DialContext(ctx, "tcp", address)
 	if err != nil {
@@ -232,9 +248,9 @@
 }
 
 // dial opens a new connection to the address.
-func (p *Pool) dial(ctx context.Context, address string) (*pooledConn, error) {
+func (p *Pool) dial(ctx context.Context, address string, reason DialReason) (*pooledConn, error) {
 	if p.OnDial != nil {
-		p.OnDial()
+		p.OnDial(reason)
 	}
 	pc := &pooledConn{}
 	conn, err := p.transport.NewClientConn(context.WithValue(ctx, pooledConnKey{}, pc), "http", address)
@@ -242,90 +258,10 @@
 		return nil, err
 	}
 	pc.conn = conn
+	p.opened(address)
 	return pc, nil
 }
 
-// take removes the most recently used open connection from the pool and returns it. It returns nil if there is none
-// that has been idle for less than maxIdle.
-func (p *Pool) take(address string, maxIdle time.Duration) *pooledConn {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	list := p.idle[address]
-	for len(list) > 0 {
-		pc := list[len(list)-1]
-		if time.Since(pc.lastUsed) >= maxIdle {
-			break
-		}
-		list = list[:len(list)-1]
-		p.idle[address] = list
-		if pc.conn.Err() == nil && pc.conn.Reserve() == nil {
-			return pc
-		}
-		_ = pc.conn.Close()
-	}
-	return nil
-}
-
-// put returns a connection to the pool and closes the least recently used one if the pool holds too many.
-func (p *Pool) put(address string, pc *pooledConn) {
-	pc.lastUsed = time.Now()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	list := append(p.idle[address], pc)
-	if len(list) > maxIdlePerAddress {
-		_ = list[0].conn.Close()
-		list = list[1:]
-	}
-	p.idle[address] = list
-}
-
-// CloseExpired closes the connections that have been idle for longer than IdleTimeout or that the peer has closed.
-func (p *Pool) CloseExpired() {
-	p.once.Do(p.start)
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for address, list := range p.idle {
-		remaining := list[:0]
-		for _, pc := range list {
-			if pc.conn.Err() != nil || time.Since(pc.lastUsed) > p.IdleTimeout {
-				_ = pc.conn.Close()
-				continue
-			}
-			remaining = append(remaining, pc)
-		}
-		clear(list[len(remaining):])
-		if len(remaining) == 0 {
-			delete(p.idle, address)
-			continue
-		}
-		p.idle[address] = remaining
-	}
-}
-
-// CloseIdle closes all idle connections to an address.
-func (p *Pool) CloseIdle(address string) {
-	p.once.Do(p.start)
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, pc := range p.idle[address] {
-		_ = pc.conn.Close()
-	}
-	delete(p.idle, address)
-}
-
-// Close closes all idle connections.
-func (p *Pool) Close() {
-	p.once.Do(p.start)
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, list := range p.idle {
-		for _, pc := range list {
-			_ = pc.conn.Close()
-		}
-	}
-	clear(p.idle)
-}
-
 // pooledBody is the body of a response. When it is closed, it returns its connection to the pool if the body was read
 // to EOF, and closes the connection otherwise.
 type pooledBody struct {
@@ -351,10 +287,13 @@
 		return err
 	}
 	b.closed = true
-	if b.atEOF && b.pc.conn.Err() == nil {
+	switch {
+	case !b.atEOF:
+		b.pool.discard(b.address, b.pc, Broken)
+	case b.pc.conn.Err() != nil:
+		b.pool.discard(b.address, b.pc, ClosedByTarget)
+	default:
 		b.pool.put(b.address, b.pc)
-	} else {
-		_ = b.pc.conn.Close()
 	}
 	return err
 }
--- a/internal/target/executor/executor.go
+++ b/internal/target/executor/executor.go
@@ -51,7 +51,8 @@
 	// all of their slots are in use.
 	usableSlotShare = 0.95
 	// maxIdleIdempotent and maxIdleNonIdempotent are the maximum idle times of a connection that is reused. Targets
-	// close idle connections without notice, and a non-idempotent request sent on a closed connection is lost.
+	// close idle connections without notice, or forget those that have been idle for 300 ms, and a non-idempotent
+	// request sent on such a connection is lost.
 	maxIdleIdempotent    = 5 * time.Second
 	maxIdleNonIdempotent = 250 * time.Millisecond
 	// unreachableBackoff is the pause after a failed connection attempt before the target is tried again.
