Order waiting requests by the time at which they must start

Cause: child calls waited before all new requests and otherwise by arrival, so that a stock check with an objective of 150 ms waited behind calls that had more than that left; neither the remaining time nor the account counted.

Ruled out: the deadline as the order (it lies far beyond the objective, so that short requests would still wait), and the rank before everything (work that is already done would be thrown away).

Change: among child calls and new requests of the best rank present, the latest start that meets the objective decides; within 25 ms the rank of the root request, then accounts in turn (start-time fair queueing). Child calls carry the rank and account of their root in an optional header. What would be refused after its wait, or pass its deadline, is refused at once, so that another target can be tried. A child call never gives way to a new request.

--- a/internal/caller/gateway/gateway.go
+++ b/internal/caller/gateway/gateway.go
@@ -17,7 +17,6 @@
 	"github.com/plantainwheel/plantainwheel/internal/fleet/tracker"
 	"github.com/plantainwheel/plantainwheel/internal/node/timekeeper"
 	"github.com/plantainwheel/plantainwheel/internal/peer/forwarder"
-	"github.com/plantainwheel/plantainwheel/internal/policy/allocator"
 	"github.com/plantainwheel/plantainwheel/internal/policy/placer"
 	"github.com/plantainwheel/plantainwheel/internal/policy/quarantiner"
 	"github.com/plantainwheel/plantainwheel/internal/policy/queuer"
@@ -72,6 +71,8 @@
 	RateLimits   *RateLimits
 	Shedder      *Shedder
 	RetryBudgets *RetryBudgets
+	// Returns, if set, gives refused requests a time to return.
+	Returns *Returns
 	// Isolator, if set, tells which requests crash targets.
 	Isolator *isolator.Isolator
 	Log      *log.Logger
@@ -104,6 +105,8 @@
 	account   *matcher.Account
 	childCall bool
 	rank      int
+	// root is the caller's request that this one belongs to: itself, or for a child call as far as it can be told.
+	root executor.Root
 	// deadline is the client's or the route's deadline, whichever is earlier.
 	deadline time.Time
 	body     transporter.Body
@@ -114,6 +117,8 @@
 	// tried holds the nodes on whose targets the request was placed.
 	tried []string
 	uri   string
+	// returnPlanned is set if the request was refused and the time to return is to be sent as it is.
+	returnPlanned bool
 	// trial is set if only one target at a time may run the request.
 	trial bool
 	// signature is set while a crash of a target is known.
@@ -178,6 +183,9 @@
 		if q.r.Header.Get(platform.AuthorizationHeader) == "" && g.Executor.RecordCall(q.route.Name) {
 			q.childCall = true
 			q.rank = queuer.ChildCallRank
+			q.root = g.Executor.RunningRoot(q.route.Name)
+		} else {
+			q.root = executor.Root{Rank: q.rank}
 		}
 		return nil
 	}
@@ -192,6 +200,10 @@
 		return &refusal{http.StatusUnauthorized, "no-account", 0}
 	}
 	q.rank = q.route.Rank(q.account)
+	q.root = executor.Root{Rank: q.rank}
+	if q.account != nil {
+		q.root.Account = q.account.Name
+	}
 	return nil
 }
 
@@ -221,9 +233,8 @@
 		}
 	}
 	if !q.childCall {
-		class := allocator.Class{Route: q.route.Name, Rank: q.rank}
-		if ok, fraction := g.Shedder.Admit(class); !ok {
-			return &refusal{http.StatusServiceUnavailable, "overload", time.Duration(float64(overloadRetryAfter) / max(fraction, 0.1))}
+		if v := g.admitLoad(q); v != nil {
+			return v
 		}
 	}
 	if q.account != nil {
@@ -389,6 +400,7 @@
 		Idempotent:          q.route.Idempotent,
 		Deadline:            q.deadline,
 		MaxWait:             g.maxWait(q),
+		Root:                q.root,
 	}
 }
 
--- a/internal/caller/gateway/limits.go
+++ b/internal/caller/gateway/limits.go
@@ -103,6 +103,20 @@
 	return s.allocator.Admit(time.Now(), class), s.allocator.AdmittedFraction(class)
 }
 
+// AdmitReturning admits a request of the class that returns at its reserved time.
+func (s *Shedder) AdmitReturning(class allocator.Class) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.allocator.AdmitReturning(time.Now(), class)
+}
+
+// AdmittedRate returns the number of requests of the class per second that are admitted at this node at present.
+func (s *Shedder) AdmittedRate(class allocator.Class) float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.allocator.AdmittedRate(class)
+}
+
 // UpdateDemand updates the demand of the requests that enter at this node and returns it by service, in slots.
 func (s *Shedder) UpdateDemand(costs allocator.TotalCosts) map[string]float64 {
 	s.mu.Lock()
--- a/internal/caller/gateway/refusal.go
+++ b/internal/caller/gateway/refusal.go
@@ -25,7 +25,11 @@
 		header.Set(platform.RequestIDHeader, id)
 	}
 	if v.retryAfter > 0 {
-		header.Set(platform.RetryAfterHeader, formatRetryAfter(v.retryAfter))
+		delay := v.retryAfter
+		if !q.returnPlanned {
+			delay = jitter(delay)
+		}
+		header.Set(platform.RetryAfterHeader, formatRetryAfter(delay))
 	}
 	g.Metrics.recordRefused(v.reason)
 	if line := g.logEntry(g.RefusedLogLimiter, q, v.status); line != nil {
@@ -46,9 +50,12 @@
 	}
 }
 
-// formatRetryAfter formats the delay as a header value in seconds. It adds jitter, so that refused callers do not all
-// retry at the same time.
+// jitter adds up to as much again, so that refused callers do not all retry at the same time.
+func jitter(delay time.Duration) time.Duration {
+	return time.Duration(float64(delay) * (1 + rand.Float64()))
+}
+
+// formatRetryAfter formats the delay, which maxRetryAfter limits, as a header value in seconds.
 func formatRetryAfter(delay time.Duration) string {
-	jittered := min(time.Duration(float64(delay)*(1+rand.Float64())), maxRetryAfter)
-	return strconv.FormatFloat(jittered.Seconds(), 'f', 2, 64)
+	return strconv.FormatFloat(min(delay, maxRetryAfter).Seconds(), 'f', 2, 64)
 }
--- a/internal/node/attendant/attendant.go
+++ b/internal/node/attendant/attendant.go
@@ -141,6 +141,7 @@
 	a.executor.OnStateChange = a.handleTargetState
 	a.isolator = &isolator.Isolator{Self: cfg.Node, Log: a.Log, Metrics: a.Metrics}
 	a.executor.Guard = a.isolator
+	a.executor.Objective = a.objective
 	a.executor.OnSend = a.Metrics.NewCounter("target_requests_sent_total").Inc
 	wake := make(chan struct{}, 1)
 	a.copy = &distributor.Copy{Now: timekeeper.SinceBoot, OnQuestion: func(topic string, stale bool) bool { return a.watcher.HandleQuestion(topic, stale) }}
@@ -174,6 +175,18 @@
 	}
 }
 
+// objective returns the response-time objective of a route in the configuration in force, or 0 if there is none.
+func (a *Attendant) objective(route string) time.Duration {
+	table := a.keeper.Table()
+	if table == nil {
+		return 0
+	}
+	if r := table.Named(route); r != nil {
+		return r.Objective
+	}
+	return 0
+}
+
 // notify sends a value unless one is pending.
 func notify(c chan<- struct{}) {
 	select {
@@ -194,6 +207,7 @@
 		Sender:       &forwarder.Forwarder{Pool: peers, LoadTracker: a.tracker},
 		RateLimits:   gateway.NewRateLimits(cfg.Bounds.RateWindow),
 		Shedder:      gateway.NewShedder(),
+		Returns:      gateway.NewReturns(a.Metrics),
 		Isolator:     a.isolator,
 		RetryBudgets: &gateway.RetryBudgets{RefillPerAttempt: retryBudgetShare * cfg.Bounds.RetryShare, Capacity: 2},
 		Log:          a.Log, RefusedLogLimiter: &loglimiter.Limiter{PerSecond: refusedLinesPerSecond},
--- a/internal/peer/forwarder/forwarder.go
+++ b/internal/peer/forwarder/forwarder.go
@@ -12,6 +12,7 @@
 	"strings"
 	"time"
 
+	"github.com/plantainwheel/plantainwheel/internal/policy/queuer"
 	"github.com/plantainwheel/plantainwheel/internal/route/transporter"
 	"github.com/plantainwheel/plantainwheel/internal/target/executor"
 	"github.com/plantainwheel/plantainwheel/platform"
@@ -25,6 +26,10 @@
 // separate, so that nodes of earlier builds accept the hopHeader.
 const limitHeader = "Pw-Limit"
 
+// rootHeader is the header that carries the rank and the client account of the caller's request that a child call belongs
+// to. Nodes of earlier builds ignore it.
+const rootHeader = "Pw-Root"
+
 // Outcome codes in the hopHeader of a response.
 const (
 	outcomeAnswered = "a"
@@ -203,9 +208,37 @@
 	if job.KnownLimit > 0 {
 		h.Set(limitHeader, strconv.FormatFloat(job.KnownLimit, 'g', -1, 64))
 	}
+	setRoot(h, job)
 	return text
 }
 
+// setRoot sets rootHeader for a child call. The root of a new request follows from its other headers.
+func setRoot(h http.Header, job *executor.Job) {
+	h.Del(rootHeader)
+	if job.Rank == queuer.ChildCallRank && job.Root != executor.UnknownRoot {
+		h.Set(rootHeader, strconv.Itoa(job.Root.Rank)+" "+url.QueryEscape(job.Root.Account))
+	}
+}
+
+// takeRoot removes rootHeader and returns the root of a job of the given rank.
+func takeRoot(h http.Header, rank int) executor.Root {
+	text := h.Get(rootHeader)
+	h.Del(rootHeader)
+	if rank != queuer.ChildCallRank {
+		return executor.Root{Rank: rank, Account: h.Get(platform.AccountHeader)}
+	}
+	number, account, _ := strings.Cut(text, " ")
+	rootRank, err := strconv.Atoi(number)
+	if err != nil {
+		return executor.UnknownRoot
+	}
+	account, err = url.QueryUnescape(account)
+	if err != nil {
+		return executor.UnknownRoot
+	}
+	return executor.Root{Rank: rootRank, Account: account}
+}
+
 // setRequestHop sets hopHeader. The fields of the call ID follow the others, so that nodes of earlier builds reject a
 // copy instead of running it.
 func setRequestHop(job *executor.Job, packed string, id callID) {
@@ -270,6 +303,7 @@
 		Route:               route,
 		ExpectedIncarnation: h.Get(platform.ExpectIncarnationHeader),
 		KnownLimit:          knownLimit,
+		Root:                takeRoot(h, numbers[0]),
 	}, id, nil
 }
 
--- a/internal/policy/allocator/allocator.go
+++ b/internal/policy/allocator/allocator.go
@@ -89,6 +89,22 @@
 	return true
 }
 
+// AdmitReturning counts a request that returns at its reserved time as demand and admits it. It takes the place of a later
+// request of the class.
+func (a *Allocator) AdmitReturning(now time.Time, key Class) {
+	if !a.Admit(now, key) {
+		a.classes[key].credit--
+	}
+}
+
+// AdmittedRate returns the number of requests of the class per second that are admitted at this node at present.
+func (a *Allocator) AdmittedRate(key Class) float64 {
+	if c := a.classes[key]; c != nil {
+		return c.rate * c.fraction
+	}
+	return 0
+}
+
 // AdmittedFraction returns the admitted fraction of a class.
 func (a *Allocator) AdmittedFraction(key Class) float64 {
 	if c := a.classes[key]; c != nil {
--- a/internal/policy/estimator/estimator.go
+++ b/internal/policy/estimator/estimator.go
@@ -37,6 +37,8 @@
 	updatedAt  time.Time
 	routeCosts []RouteCosts
 	fittedAt   time.Time
+	// callers holds, by route called, the routes that call it. It is derived from routeCosts and rebuilt with them.
+	callers map[string]map[string]bool
 }
 
 // pair is a route and a route that it calls.
@@ -149,9 +151,27 @@
 			e.routeCosts = append(e.routeCosts, e.costsOf(route, seconds[route], n, callees))
 		}
 	}
+	e.callers = callersOf(e.routeCosts)
 	return e.routeCosts
 }
 
+// Callers returns the routes that are known to call the given one, as of the latest call of RouteCosts. The result must not
+// be changed.
+func (e *Estimator) Callers(callee string) map[string]bool { return e.callers[callee] }
+
+func callersOf(costs []RouteCosts) map[string]map[string]bool {
+	callers := map[string]map[string]bool{}
+	for _, c := range costs {
+		for callee := range c.Calls {
+			if callers[callee] == nil {
+				callers[callee] = map[string]bool{}
+			}
+			callers[callee][c.Route] = true
+		}
+	}
+	return callers
+}
+
 func (e *Estimator) totals() (seconds, ended, callees map[string]float64) {
 	seconds, ended, callees = map[string]float64{}, map[string]float64{}, map[string]float64{}
 	for i := range e.ring {
--- a/internal/route/matcher/matcher.go
+++ b/internal/route/matcher/matcher.go
@@ -76,16 +76,18 @@
 	Config Config
 
 	hosts map[string][]*Route
+	names map[string]*Route
 	keys  map[[sha256.Size]byte]*Account
 }
 
 // NewTable indexes a configuration.
 func NewTable(c Config) *Table {
-	t := &Table{Config: c, hosts: map[string][]*Route{}, keys: map[[sha256.Size]byte]*Account{}}
+	t := &Table{Config: c, hosts: map[string][]*Route{}, names: map[string]*Route{}, keys: map[[sha256.Size]byte]*Account{}}
 	for i := range c.Routes {
 		r := &c.Routes[i]
 		host := strings.ToLower(r.Host)
 		t.hosts[host] = append(t.hosts[host], r)
+		t.names[r.Name] = r
 	}
 	for _, list := range t.hosts {
 		slices.SortStableFunc(list, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
@@ -113,6 +115,9 @@
 	return nil
 }
 
+// Named returns the route with the name, or nil.
+func (t *Table) Named(name string) *Route { return t.names[name] }
+
 // Account returns the client account that holds the key, or nil. Keys are looked up by their digest, so that the
 // duration of a lookup reveals nothing about the keys of other accounts.
 func (t *Table) Account(key string) *Account { return t.keys[sha256.Sum256([]byte(key))] }
--- a/internal/target/executor/executor.go
+++ b/internal/target/executor/executor.go
@@ -90,6 +90,8 @@
 	Deadline   time.Time
 	// MaxWait is the maximum time in the queue.
 	MaxWait time.Duration
+	// Root is the caller's request that the job belongs to.
+	Root Root
 
 	signature *quarantiner.Signature
 }
@@ -124,6 +126,7 @@
 // waiter is a queued job. admitted receives true when the job gets a slot and false when it is refused.
 type waiter struct {
 	route    string
+	root     Root
 	admitted chan bool
 }
 
@@ -136,6 +139,8 @@
 	OnSend        func()
 	// Guard, if set, withholds requests that crash targets.
 	Guard Guard
+	// Objective, if set, returns the response-time objective of a route, or 0 if it has none.
+	Objective func(route string) time.Duration
 
 	mu               sync.Mutex
 	target           Target
@@ -146,6 +151,7 @@
 	pacer            pacer.Pacer
 	holdTime         time.Duration
 	waiters          map[*queuer.Entry]waiter
+	roots            roots
 	meter            regulator.Meter
 	estimator        estimator.Estimator
 	failureRate      float64
@@ -160,6 +166,7 @@
 	return &Executor{
 		Pool:         pool,
 		waiters:      map[*queuer.Entry]waiter{},
+		roots:        roots{},
 		resendBudget: retrier.TokenBucket{RefillPerAttempt: resendRefillPerAttempt, Capacity: resendCapacity},
 	}
 }
@@ -176,7 +183,7 @@
 	}
 	began := time.Now()
 	finish := sync.OnceFunc(func() {
-		e.finish(job.Route, began)
+		e.finish(job, began)
 		leave()
 	})
 	answer := e.run(ctx, job)
@@ -196,8 +203,7 @@
 // acquireSlot waits for a slot. It returns the reason if the job is refused, or "" if it got a slot. A queued
 // job that notify refuses gets ReasonQueueFull, even if the cause is that the target has left or is unreachable.
 func (e *Executor) acquireSlot(ctx context.Context, job *Job) string {
-	entry := &queuer.Entry{Rank: job.Rank, LatestStart: time.Now().Add(job.MaxWait)}
-	wait, reason := e.enqueue(job, entry)
+	entry, wait, reason := e.enqueue(job)
 	if reason != "" || wait == nil {
 		return reason
 	}
@@ -218,34 +224,39 @@
 
 // enqueue takes a free slot or queues the job. The returned channel is nil if the job got a slot or was refused. If
 // the queue is full, either this job is refused or a less important one is evicted.
-func (e *Executor) enqueue(job *Job, entry *queuer.Entry) (chan bool, string) {
+func (e *Executor) enqueue(job *Job) (*queuer.Entry, chan bool, string) {
 	now := time.Now()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if reason := e.refusalReason(now, job.ExpectedIncarnation); reason != "" {
-		return nil, reason
+		return nil, nil, reason
 	}
+	entry := e.newEntry(now, job)
 	if job.KnownLimit > 0 {
 		e.pacer.Adopt(now, job.KnownLimit)
 	}
 	if e.pacer.Delay(now, e.queue.Ahead(job.Rank)) > job.MaxWait {
-		return nil, ReasonRateLimited
+		return nil, nil, ReasonRateLimited
 	}
-	admitted, refused := e.queue.Offer(entry, e.pacer.Available(now))
+	available := e.pacer.Available(now)
+	if !e.queue.Free(available) && e.isLate(now, job, entry) {
+		return nil, nil, ReasonQueueTimeout
+	}
+	admitted, refused := e.queue.Offer(entry, available)
 	defer e.observeLoad(now)
 	if admitted {
-		e.begin(now, job.Route)
-		return nil, ""
+		e.begin(now, job.Route, job.Root)
+		return nil, nil, ""
 	}
 	if refused == entry {
-		return nil, ReasonQueueFull
+		return nil, nil, ReasonQueueFull
 	}
 	if refused != nil {
 		e.notify(now, refused, false)
 	}
-	w := waiter{route: job.Route, admitted: make(chan bool, 1)}
+	w := waiter{route: job.Route, root: job.Root, admitted: make(chan bool, 1)}
 	e.waiters[entry] = w
-	return w.admitted, ""
+	return entry, w.admitted, ""
 }
 
 // refusalReason returns why the target cannot accept requests for the expected incarnation, or "" if it can.
@@ -265,8 +276,9 @@
 }
 
 // begin records that a job of the route has got a slot.
-func (e *Executor) begin(now time.Time, route string) {
+func (e *Executor) begin(now time.Time, route string, root Root) {
 	e.pacer.Take(now)
+	e.roots.add(route, root)
 	e.estimator.RecordStart(now, route)
 }
 
@@ -275,7 +287,7 @@
 	w := e.waiters[entry]
 	delete(e.waiters, entry)
 	if admitted {
-		e.begin(now, w.route)
+		e.begin(now, w.route, w.root)
 	}
 	w.admitted <- admitted
 }
@@ -292,14 +304,13 @@
 		return reason
 	}
 	if <-wait {
-		e.estimator.RecordEnd(now, job.Route)
-		e.releaseSlot(now)
+		e.end(now, job)
 	}
 	return reason
 }
 
-// finish records the end of a running job of the route and releases its slot.
-func (e *Executor) finish(route string, began time.Time) {
+// finish records the end of a running job and how long it held its slot, and releases the slot.
+func (e *Executor) finish(job *Job, began time.Time) {
 	now := time.Now()
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -307,7 +318,13 @@
 		e.holdTime = now.Sub(began)
 	}
 	e.holdTime += time.Duration(holdTimeWeight * float64(now.Sub(began)-e.holdTime))
-	e.estimator.RecordEnd(now, route)
+	e.end(now, job)
+}
+
+// end records the end of a running job and releases its slot.
+func (e *Executor) end(now time.Time, job *Job) {
+	e.estimator.RecordEnd(now, job.Route)
+	e.roots.remove(job.Route, job.Root)
 	e.releaseSlot(now)
 }
 
