--- a/internal/target/executor/executor.go
+++ b/internal/target/executor/executor.go
@@ -97,6 +97,8 @@
 	Deadline   time.Time
 	// MaxWait is the maximum time in the queue.
 	MaxWait time.Duration
+	// Root is the caller's request that the job belongs to.
+	Root Root
 
 	signature *quarantiner.Signature
 }
@@ -133,6 +135,7 @@
 // waiter is a queued job. admitted receives true when the job gets a slot and false when it is refused.
 type waiter struct {
 	route    string
+	root     Root
 	admitted chan bool
 }
 
@@ -150,6 +153,8 @@
 	Withhold func() string
 	// ColdTerms, if set, returns what applies to cold targets of a service. It must not block.
 	ColdTerms func(service string) ColdTerms
+	// Objective, if set, returns the response-time objective of a route, or 0 if it has none.
+	Objective func(route string) time.Duration
 
 	mu               sync.Mutex
 	target           Target
@@ -163,6 +168,7 @@
 	announcedCold    bool
 	holdTime         time.Duration
 	waiters          map[*queuer.Entry]waiter
+	roots            roots
 	meter            regulator.Meter
 	estimator        estimator.Estimator
 	failureRate      float64
@@ -177,6 +183,7 @@
 	return &Executor{
 		Pool:         pool,
 		waiters:      map[*queuer.Entry]waiter{},
+		roots:        roots{},
 		resendBudget: retrier.TokenBucket{RefillPerAttempt: resendRefillPerAttempt, Capacity: resendCapacity},
 	}
 }
@@ -193,7 +200,7 @@
 	}
 	began := time.Now()
 	finish := sync.OnceFunc(func() {
-		e.finish(job.Route, began)
+		e.finish(job, began)
 		leave()
 	})
 	answer := e.run(ctx, job)
@@ -214,8 +221,7 @@
 // job that notify refuses gets ReasonQueueFull, even if the cause is that the target has left or is unreachable, unless
 // the target is withheld.
 func (e *Executor) acquireSlot(ctx context.Context, job *Job) string {
-	entry := &queuer.Entry{Rank: job.Rank, LatestStart: time.Now().Add(job.MaxWait)}
-	wait, reason := e.enqueue(job, entry)
+	entry, wait, reason := e.enqueue(job)
 	if reason != "" || wait == nil {
 		return reason
 	}
@@ -236,38 +242,43 @@
 
 // enqueue takes a free slot or queues the job. The returned channel is nil if the job got a slot or was refused. If
 // the queue is full, either this job is refused or a less important one is evicted.
-func (e *Executor) enqueue(job *Job, entry *queuer.Entry) (chan bool, string) {
+func (e *Executor) enqueue(job *Job) (*queuer.Entry, chan bool, string) {
 	now := time.Now()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if reason := e.refusalReason(now, job.ExpectedIncarnation); reason != "" {
-		return nil, reason
+		return nil, nil, reason
 	}
+	entry := e.newEntry(now, job)
 	if job.KnownLimit > 0 {
 		e.pacer.Adopt(now, job.KnownLimit)
 	}
 	ahead := e.queue.Ahead(job.Rank)
 	if e.pacer.Delay(now, ahead) > job.MaxWait {
-		return nil, ReasonRateLimited
+		return nil, nil, ReasonRateLimited
 	}
 	if e.warmer.Delay(now, ahead) > job.MaxWait {
-		return nil, ReasonCold
+		return nil, nil, ReasonCold
 	}
-	admitted, refused := e.queue.Offer(entry, e.available(now))
+	available := e.available(now)
+	if !e.queue.Free(available) && e.isLate(now, job, entry) {
+		return nil, nil, ReasonQueueTimeout
+	}
+	admitted, refused := e.queue.Offer(entry, available)
 	defer e.observeLoad(now)
 	if admitted {
-		e.begin(now, job.Route)
-		return nil, ""
+		e.begin(now, job.Route, job.Root)
+		return nil, nil, ""
 	}
 	if refused == entry {
-		return nil, ReasonQueueFull
+		return nil, nil, ReasonQueueFull
 	}
 	if refused != nil {
 		e.notify(now, refused, false)
 	}
-	w := waiter{route: job.Route, admitted: make(chan bool, 1)}
+	w := waiter{route: job.Route, root: job.Root, admitted: make(chan bool, 1)}
 	e.waiters[entry] = w
-	return w.admitted, ""
+	return entry, w.admitted, ""
 }
 
 // refusalReason returns why the target cannot accept requests for the expected incarnation, or "" if it can.
@@ -290,9 +301,10 @@
 }
 
 // begin records that a job of the route has got a slot.
-func (e *Executor) begin(now time.Time, route string) {
+func (e *Executor) begin(now time.Time, route string, root Root) {
 	e.pacer.Take(now)
 	e.warmer.Reserve()
+	e.roots.add(route, root)
 	e.estimator.RecordStart(now, route)
 }
 
@@ -301,7 +313,7 @@
 	w := e.waiters[entry]
 	delete(e.waiters, entry)
 	if admitted {
-		e.begin(now, w.route)
+		e.begin(now, w.route, w.root)
 	}
 	w.admitted <- admitted
 }
@@ -319,14 +331,13 @@
 	}
 	if <-wait {
 		e.warmer.Release()
-		e.estimator.RecordEnd(now, job.Route)
-		e.releaseSlot(now)
+		e.end(now, job)
 	}
 	return reason
 }
 
-// finish records the end of a running job of the route and releases its slot.
-func (e *Executor) finish(route string, began time.Time) {
+// finish records the end of a running job and how long it held its slot, and releases the slot.
+func (e *Executor) finish(job *Job, began time.Time) {
 	now := time.Now()
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -334,7 +345,13 @@
 		e.holdTime = now.Sub(began)
 	}
 	e.holdTime += time.Duration(holdTimeWeight * float64(now.Sub(began)-e.holdTime))
-	e.estimator.RecordEnd(now, route)
+	e.end(now, job)
+}
+
+// end records the end of a running job and releases its slot.
+func (e *Executor) end(now time.Time, job *Job) {
+	e.estimator.RecordEnd(now, job.Route)
+	e.roots.remove(job.Route, job.Root)
 	e.releaseSlot(now)
 }
 
