--- a/internal/node/attendant/attendant.go
+++ b/internal/node/attendant/attendant.go
@@ -80,8 +80,8 @@
 type Attendant struct {
 	Settings platform.Settings
 	Log      *log.Logger
-	// OnEvacuationEnd, if set before Build, is called before the target gets requests again after the evacuation of its
-	// data centre, because the target may have become cold.
+	// OnEvacuationEnd is called before the target gets requests again after the evacuation of its data centre, because the
+	// target may have become cold. If it is not set before Build, the executor then takes the target for possibly cold.
 	OnEvacuationEnd func()
 
 	Metrics    *metrics.Set
--- a/internal/node/attendant/evacuation.go
+++ b/internal/node/attendant/evacuation.go
@@ -31,6 +31,9 @@
 	a.evacuations = &keeper.Evacuations{OnChange: a.handleEvacuation}
 	a.tracker.Evacuated = a.evacuations.Evacuated
 	a.executor.Withhold = a.withholdReason
+	if a.OnEvacuationEnd == nil {
+		a.OnEvacuationEnd = a.executor.MarkPossiblyCold
+	}
 }
 
 // maxNeighbourAge returns the maximum age of the records of the configuration's topic that a neighbour has read.
