--- a/internal/node/attendant/attendant.go
+++ b/internal/node/attendant/attendant.go
@@ -55,8 +55,6 @@
 	costsInterval = 500 * time.Millisecond
 	// housekeepingInterval is the interval at which idle connections are closed and the load is logged.
 	housekeepingInterval = time.Second
-	// targetIdleTimeout is how long an idle connection to the target is kept open.
-	targetIdleTimeout = 6 * time.Second
 	// refusedLinesPerSecond and servedLinesPerSecond limit the log lines for refused requests and for a sample of
 	// the served ones. A line costs about 3 us, so that logging uses less than a thousandth of a core.
 	refusedLinesPerSecond = 20
@@ -82,6 +80,9 @@
 type Attendant struct {
 	Settings platform.Settings
 	Log      *log.Logger
+	// OnEvacuationEnd is called before the target gets requests again after the evacuation of its data centre, because the
+	// target may have become cold. If it is not set before Build, the executor then takes the target for possibly cold.
+	OnEvacuationEnd func()
 
 	Metrics    *metrics.Set
 	keeper     *keeper.Keeper
@@ -94,6 +95,7 @@
 	reporter   *reporter.Reporter
 	poller     *adviser.Poller
 	pools      []*transporter.Pool
+	targets    *transporter.Pool
 	servers    []*server
 	ready      atomic.Bool
 	started    time.Time
@@ -103,12 +105,18 @@
 	// targetLogLimiter limits the log lines on what the target says in its answers.
 	targetLogLimiter loglimiter.Limiter
 
+	// evacuations is nil in deployments without evacuations.
+	evacuations *keeper.Evacuations
+
 	// silentMembers is the number of members that share the rate limits and are not heard. Only shareLimits uses it and the
 	// fields below.
 	silentMembers   *metrics.Gauge
 	someSilent      bool
 	silenceLoggedAt time.Time
 
+	// targetCold is the condition of the target that was last logged. Only logCold uses it.
+	targetCold bool
+
 	// totalCosts holds the costs of requests at the time costsAt. Only plan uses them.
 	totalCosts allocator.TotalCosts
 	costsAt    time.Time
@@ -134,20 +142,24 @@
 	a.targetLogLimiter.PerSecond = targetLinesPerSecond
 	a.keeper = &keeper.Keeper{Decode: platform.DecodeConfig}
 	a.tracker = &tracker.Tracker{Self: cfg.Node, DataCentre: cfg.DataCentre, ReportTimeout: nodeSilenceTimeout}
-	targets := &transporter.Pool{IdleTimeout: targetIdleTimeout, OnDial: a.Metrics.NewCounter("target_connections_opened_total").Inc}
+	targets := executor.NewPool(a.Metrics)
+	a.targets = targets
 	peers := forwarder.NewPool()
 	a.pools = []*transporter.Pool{targets, peers}
 	a.executor = executor.New(targets)
 	a.executor.OnStateChange = a.handleTargetState
 	a.isolator = &isolator.Isolator{Self: cfg.Node, Log: a.Log, Metrics: a.Metrics}
 	a.executor.Guard = a.isolator
+	a.buildEvacuations()
+	a.observeCold(targets)
+	a.executor.Objective = a.objective
 	a.executor.OnSend = a.Metrics.NewCounter("target_requests_sent_total").Inc
 	wake := make(chan struct{}, 1)
 	a.copy = &distributor.Copy{Now: timekeeper.SinceBoot, OnQuestion: func(topic string, stale bool) bool { return a.watcher.HandleQuestion(topic, stale) }}
 	a.watcher = &watcher.Watcher{
 		Store:      &watcher.CountingStore{Store: platform.NewStore(cfg.StoreAddress), Metrics: a.Metrics},
 		Neighbours: distributor.NewClient(timekeeper.SinceBoot), Copy: a.copy, Metrics: a.Metrics,
-		MaxConfigAge: scale(cfg.Bounds.KeyRevocation, neighbourConfigShare), Keeper: a.keeper, Tracker: a.tracker,
+		MaxConfigAge: a.maxNeighbourAge(), Evacuations: a.evacuations, Keeper: a.keeper, Tracker: a.tracker,
 		Log: a.Log, Self: cfg.Node, ConfigWait: configPollTimeout, OnOwnMember: a.restoreTarget,
 		SettlePeriod: cfg.Bounds.ConfigApply, MaxSettlePeriod: cfg.Bounds.KeyRevocation,
 		OwnCosts: a.costRecord, OnStoredCosts: a.restoreCosts, OnEra: func() { notify(wake) },
@@ -155,7 +167,7 @@
 	}
 	a.poller = &adviser.Poller{
 		Keeper: a.keeper, Tracker: a.tracker, Log: a.Log, PollAfter: scale(cfg.Bounds.KeyRevocation, peerQueryShare), Wake: wake,
-		HTTP: adviser.NewHTTPClient(),
+		HTTP: adviser.NewHTTPClient(), Evacuations: a.evacuations, PollEvacuationsAfter: scale(cfg.Bounds.Evacuate, evacuationGoalShare),
 	}
 	a.Metrics.NewGauge("configuration_age_seconds", func() float64 { return a.keeper.Age(timekeeper.SinceBoot()).Seconds() })
 	a.gateway = a.newGateway(peers)
@@ -174,6 +186,18 @@
 	}
 }
 
+// objective returns the response-time objective of a route in the configuration in force, or 0 if there is none.
+func (a *Attendant) objective(route string) time.Duration {
+	table := a.keeper.Table()
+	if table == nil {
+		return 0
+	}
+	if r := table.Named(route); r != nil {
+		return r.Objective
+	}
+	return 0
+}
+
 // notify sends a value unless one is pending.
 func notify(c chan<- struct{}) {
 	select {
@@ -194,6 +218,7 @@
 		Sender:       &forwarder.Forwarder{Pool: peers, LoadTracker: a.tracker},
 		RateLimits:   gateway.NewRateLimits(cfg.Bounds.RateWindow),
 		Shedder:      gateway.NewShedder(),
+		Returns:      gateway.NewReturns(a.Metrics),
 		Isolator:     a.isolator,
 		RetryBudgets: &gateway.RetryBudgets{RefillPerAttempt: retryBudgetShare * cfg.Bounds.RetryShare, Capacity: 2},
 		Log:          a.Log, RefusedLogLimiter: &loglimiter.Limiter{PerSecond: refusedLinesPerSecond},
@@ -237,6 +262,7 @@
 			return
 		case now := <-ticker.C:
 			a.executor.Tick()
+			a.logCold()
 			if now.Sub(lastPlan) >= planInterval {
 				lastPlan = now
 				a.plan(now)
@@ -276,10 +302,24 @@
 	for _, p := range a.pools {
 		p.CloseExpired()
 	}
+	a.boundConnections()
 	a.isolator.Tick()
 	a.logLoad()
 }
 
+// boundConnections derives the number of connections to the target from its announcement, the configuration and the VM.
+func (a *Attendant) boundConnections() {
+	target, maxConns := a.executor.Target(), 0
+	if table := a.keeper.Table(); table != nil {
+		for i := range table.Config.Services {
+			if s := &table.Config.Services[i]; s.Name == target.Service {
+				maxConns = s.MaxConns
+			}
+		}
+	}
+	a.targets.SetMaxIdle(executor.MaxConnections(target.Slots, maxConns, a.Settings.MemoryMB))
+}
+
 // restoreTarget restores the target's state from the member record of an earlier process of this node.
 func (a *Attendant) restoreTarget(m tracker.Member) {
 	a.executor.RestoreTarget(executor.Target{
--- a/internal/target/executor/executor.go
+++ b/internal/target/executor/executor.go
@@ -17,6 +17,7 @@
 	"github.com/plantainwheel/plantainwheel/internal/policy/queuer"
 	"github.com/plantainwheel/plantainwheel/internal/policy/regulator"
 	"github.com/plantainwheel/plantainwheel/internal/policy/retrier"
+	"github.com/plantainwheel/plantainwheel/internal/policy/warmer"
 	"github.com/plantainwheel/plantainwheel/internal/route/transporter"
 	"github.com/plantainwheel/plantainwheel/platform"
 )
@@ -30,11 +31,16 @@
 	ReasonQueueFull        = "queue-full"
 	ReasonQueueTimeout     = "waited-too-long"
 	ReasonRateLimited      = "target-rate-limited"
+	ReasonCold             = "target-cold"
 	ReasonDeadlinePassed   = "deadline-passed"
 	ReasonTargetShed       = "target-shed"
 	ReasonCancelled        = "caller-left"
 	// ReasonQuarantined means that targets have crashed while they ran the request.
 	ReasonQuarantined = "quarantined"
+	// ReasonEvacuated means that the target's data centre is evacuated, ReasonEvacuationsUnknown that the node does not
+	// know yet whether it is.
+	ReasonEvacuated          = "evacuated"
+	ReasonEvacuationsUnknown = "evacuations-unknown"
 )
 
 // Reasons for reporting an unknown outcome.
@@ -51,7 +57,8 @@
 	// all of their slots are in use.
 	usableSlotShare = 0.95
 	// maxIdleIdempotent and maxIdleNonIdempotent are the maximum idle times of a connection that is reused. Targets
-	// close idle connections without notice, and a non-idempotent request sent on a closed connection is lost.
+	// close idle connections without notice, or forget those that have been idle for 300 ms, and a non-idempotent
+	// request sent on such a connection is lost.
 	maxIdleIdempotent    = 5 * time.Second
 	maxIdleNonIdempotent = 250 * time.Millisecond
 	// unreachableBackoff is the pause after a failed connection attempt before the target is tried again.
@@ -90,6 +97,8 @@
 	Deadline   time.Time
 	// MaxWait is the maximum time in the queue.
 	MaxWait time.Duration
+	// Root is the caller's request that the job belongs to.
+	Root Root
 
 	signature *quarantiner.Signature
 }
@@ -109,6 +118,8 @@
 	// Paced reports whether no request can begin at present because of the limit that the target has named. Limit is
 	// then also bounded by the requests that run at once at that rate.
 	Paced bool
+	// Cold reports whether the target is cold or possibly cold and therefore paced.
+	Cold bool
 	// CrashedAt is when the target was last found to have crashed, or zero.
 	CrashedAt time.Time
 }
@@ -124,6 +135,7 @@
 // waiter is a queued job. admitted receives true when the job gets a slot and false when it is refused.
 type waiter struct {
 	route    string
+	root     Root
 	admitted chan bool
 }
 
@@ -136,6 +148,13 @@
 	OnSend        func()
 	// Guard, if set, withholds requests that crash targets.
 	Guard Guard
+	// Withhold, if set, returns why the target gets no requests at present, or "" if it does. It is called while the
+	// mutex is held.
+	Withhold func() string
+	// ColdTerms, if set, returns what applies to cold targets of a service. It must not block.
+	ColdTerms func(service string) ColdTerms
+	// Objective, if set, returns the response-time objective of a route, or 0 if it has none.
+	Objective func(route string) time.Duration
 
 	mu               sync.Mutex
 	target           Target
@@ -144,8 +163,12 @@
 	unreachableUntil time.Time
 	queue            queuer.Queue
 	pacer            pacer.Pacer
+	warmer           warmer.Warmer
+	healthPath       string
+	announcedCold    bool
 	holdTime         time.Duration
 	waiters          map[*queuer.Entry]waiter
+	roots            roots
 	meter            regulator.Meter
 	estimator        estimator.Estimator
 	failureRate      float64
@@ -160,6 +183,7 @@
 	return &Executor{
 		Pool:         pool,
 		waiters:      map[*queuer.Entry]waiter{},
+		roots:        roots{},
 		resendBudget: retrier.TokenBucket{RefillPerAttempt: resendRefillPerAttempt, Capacity: resendCapacity},
 	}
 }
@@ -176,7 +200,7 @@
 	}
 	began := time.Now()
 	finish := sync.OnceFunc(func() {
-		e.finish(job.Route, began)
+		e.finish(job, began)
 		leave()
 	})
 	answer := e.run(ctx, job)
@@ -194,10 +218,10 @@
 }
 
 // acquireSlot waits for a slot. It returns the reason if the job is refused, or "" if it got a slot. A queued
-// job that notify refuses gets ReasonQueueFull, even if the cause is that the target has left or is unreachable.
+// job that notify refuses gets ReasonQueueFull, even if the cause is that the target has left or is unreachable, unless
+// the target is withheld.
 func (e *Executor) acquireSlot(ctx context.Context, job *Job) string {
-	entry := &queuer.Entry{Rank: job.Rank, LatestStart: time.Now().Add(job.MaxWait)}
-	wait, reason := e.enqueue(job, entry)
+	entry, wait, reason := e.enqueue(job)
 	if reason != "" || wait == nil {
 		return reason
 	}
@@ -206,7 +230,7 @@
 	select {
 	case admitted := <-wait:
 		if !admitted {
-			return ReasonQueueFull
+			return e.evictionReason()
 		}
 		return ""
 	case <-timer.C:
@@ -218,38 +242,50 @@
 
 // enqueue takes a free slot or queues the job. The returned channel is nil if the job got a slot or was refused. If
 // the queue is full, either this job is refused or a less important one is evicted.
-func (e *Executor) enqueue(job *Job, entry *queuer.Entry) (chan bool, string) {
+func (e *Executor) enqueue(job *Job) (*queuer.Entry, chan bool, string) {
 	now := time.Now()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if reason := e.refusalReason(now, job.ExpectedIncarnation); reason != "" {
-		return nil, reason
+		return nil, nil, reason
 	}
+	entry := e.newEntry(now, job)
 	if job.KnownLimit > 0 {
 		e.pacer.Adopt(now, job.KnownLimit)
 	}
-	if e.pacer.Delay(now, e.queue.Ahead(job.Rank)) > job.MaxWait {
-		return nil, ReasonRateLimited
+	ahead := e.queue.Ahead(job.Rank)
+	if e.pacer.Delay(now, ahead) > job.MaxWait {
+		return nil, nil, ReasonRateLimited
 	}
-	admitted, refused := e.queue.Offer(entry, e.pacer.Available(now))
+	if e.warmer.Delay(now, ahead) > job.MaxWait {
+		return nil, nil, ReasonCold
+	}
+	available := e.available(now)
+	if !e.queue.Free(available) && e.isLate(now, job, entry) {
+		return nil, nil, ReasonQueueTimeout
+	}
+	admitted, refused := e.queue.Offer(entry, available)
 	defer e.observeLoad(now)
 	if admitted {
-		e.begin(now, job.Route)
-		return nil, ""
+		e.begin(now, job.Route, job.Root)
+		return nil, nil, ""
 	}
 	if refused == entry {
-		return nil, ReasonQueueFull
+		return nil, nil, ReasonQueueFull
 	}
 	if refused != nil {
 		e.notify(now, refused, false)
 	}
-	w := waiter{route: job.Route, admitted: make(chan bool, 1)}
+	w := waiter{route: job.Route, root: job.Root, admitted: make(chan bool, 1)}
 	e.waiters[entry] = w
-	return w.admitted, ""
+	return entry, w.admitted, ""
 }
 
 // refusalReason returns why the target cannot accept requests for the expected incarnation, or "" if it can.
 func (e *Executor) refusalReason(now time.Time, expect string) string {
+	if reason := e.withheld(); reason != "" {
+		return reason
+	}
 	switch {
 	case e.target.ID == "" || e.target.Gone:
 		return ReasonNoTarget
@@ -265,8 +301,10 @@
 }
 
 // begin records that a job of the route has got a slot.
-func (e *Executor) begin(now time.Time, route string) {
+func (e *Executor) begin(now time.Time, route string, root Root) {
 	e.pacer.Take(now)
+	e.warmer.Reserve()
+	e.roots.add(route, root)
 	e.estimator.RecordStart(now, route)
 }
 
@@ -275,7 +313,7 @@
 	w := e.waiters[entry]
 	delete(e.waiters, entry)
 	if admitted {
-		e.begin(now, w.route)
+		e.begin(now, w.route, w.root)
 	}
 	w.admitted <- admitted
 }
@@ -292,14 +330,14 @@
 		return reason
 	}
 	if <-wait {
-		e.estimator.RecordEnd(now, job.Route)
-		e.releaseSlot(now)
+		e.warmer.Release()
+		e.end(now, job)
 	}
 	return reason
 }
 
-// finish records the end of a running job of the route and releases its slot.
-func (e *Executor) finish(route string, began time.Time) {
+// finish records the end of a running job and how long it held its slot, and releases the slot.
+func (e *Executor) finish(job *Job, began time.Time) {
 	now := time.Now()
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -307,7 +345,13 @@
 		e.holdTime = now.Sub(began)
 	}
 	e.holdTime += time.Duration(holdTimeWeight * float64(now.Sub(began)-e.holdTime))
-	e.estimator.RecordEnd(now, route)
+	e.end(now, job)
+}
+
+// end records the end of a running job and releases its slot.
+func (e *Executor) end(now time.Time, job *Job) {
+	e.estimator.RecordEnd(now, job.Route)
+	e.roots.remove(job.Route, job.Root)
 	e.releaseSlot(now)
 }
 
@@ -319,7 +363,7 @@
 
 // startWaiting starts queued jobs up to the limits and refuses those that exceeded their maximum wait.
 func (e *Executor) startWaiting(now time.Time) {
-	admitted, expired := e.queue.StartQueued(now, e.pacer.Available(now))
+	admitted, expired := e.queue.StartQueued(now, e.available(now))
 	for _, entry := range admitted {
 		e.notify(now, entry, true)
 	}
@@ -330,14 +374,22 @@
 }
 
 // usableSlots returns the number of requests that the target can run at once on average.
-func (e *Executor) usableSlots() int { return e.pacer.Slots(e.queue.Limit, e.holdTime) }
+func (e *Executor) usableSlots(now time.Time) int {
+	return e.warmer.Slots(now, e.pacer.Slots(e.queue.Limit, e.holdTime), e.holdTime)
+}
+
+// available returns the number of requests that may begin now besides their need of a slot.
+func (e *Executor) available(now time.Time) int {
+	return min(e.pacer.Available(now), e.warmer.Available(now))
+}
 
 func (e *Executor) observeLoad(now time.Time) {
-	e.meter.Observe(now, e.queue.Running(), e.queue.Waiting(), e.usableSlots())
+	e.meter.Observe(now, e.queue.Running(), e.queue.Waiting(), e.usableSlots(now))
 }
 
 // run sends the job to the target.
 func (e *Executor) run(ctx context.Context, job *Job) *transporter.Answer {
+	defer e.gate(job)()
 	remaining := time.Until(job.Deadline)
 	if remaining < minRemainingTime {
 		return transporter.NotRunAnswer(ReasonDeadlinePassed)
@@ -356,24 +408,30 @@
 	if err != nil {
 		ctxDone := ctx.Err() != nil
 		cancel()
+		e.recordLostConnection(err, ctxDone)
 		return e.endLostRun(sent, &target, err, e.failureAnswer(err, ctxDone))
 	}
 	if isOwnAnswer(resp, job) {
 		e.learn(&target, platform.DecodeTargetState(resp.Header))
 	}
-	return e.endRun(sent, &target, readAnswer(resp, job, cancel))
+	answer := readAnswer(resp, job, cancel)
+	if answer.Unknown {
+		e.recordLostConnection(transporter.ErrNoAnswer, time.Now().After(job.Deadline))
+	}
+	return e.endRun(sent, &target, answer)
 }
 
 // sendAndResend sends the job, and once more if its reused connection turned out to be closed.
 func (e *Executor) sendAndResend(ctx context.Context, target *Target, job *Job, maxIdle time.Duration) (*http.Response, error) {
 	resp, reused, err := e.send(ctx, target, job, maxIdle)
-	if err == nil || !reused || ctx.Err() != nil || !e.canResend(job, err) {
+	if err == nil || !reused || ctx.Err() != nil || errors.Is(err, transporter.ErrWithheld) || !e.canResend(job, err) {
 		return resp, err
 	}
+	e.recordLostConnection(err, false)
 	resp, _, again := e.send(ctx, target, job, 0)
 	if errors.Is(again, transporter.ErrNotSent) && !errors.Is(err, transporter.ErrNotSent) {
 		// The target may have run the request when it was sent first.
-		if ctx.Err() == nil {
+		if ctx.Err() == nil && !errors.Is(again, transporter.ErrWithheld) {
 			e.markUnreachable()
 		}
 		return nil, err
@@ -405,7 +463,7 @@
 
 // canResend reports whether a request whose reused connection failed may be sent again.
 func (e *Executor) canResend(job *Job, err error) bool {
-	if !job.Request.Body.Repeatable() {
+	if !job.Request.Body.Repeatable() || e.withheld() != "" {
 		return false
 	}
 	if errors.Is(err, transporter.ErrNotSent) {
@@ -423,6 +481,9 @@
 // failureAnswer returns the answer for a failed send. ctxDone is true if the deadline had passed or the caller
 // had cancelled.
 func (e *Executor) failureAnswer(err error, ctxDone bool) *transporter.Answer {
+	if errors.Is(err, transporter.ErrWithheld) {
+		return transporter.NotRunAnswer(ReasonCold)
+	}
 	if errors.Is(err, transporter.ErrNotSent) {
 		if !ctxDone {
 			e.markUnreachable()
