Define the demand by route, rank and data centre that nodes report

Each entry node knows only its own demand by rank, so the order by rank holds only inside a node.

Nothing sends or reads them yet.

--- a/internal/fleet/tracker/tracker.go
+++ b/internal/fleet/tracker/tracker.go
@@ -42,6 +42,8 @@
 	WarmUpEndMs int64 `json:"warm-at"`
 	// TakesBatches tells that the node understands several reports in one datagram.
 	TakesBatches bool `json:"takes-batches,omitempty"`
+	// TakesDemand tells that the node understands demand by route and rank, also in a batch.
+	TakesDemand bool `json:"takes-demand,omitempty"`
 	// RecognisesCopies tells that the node recognises a forwarded request that is sent again.
 	RecognisesCopies bool `json:"recognises-copies,omitempty"`
 	// Version is the version of the target's software, if known.
@@ -86,6 +88,7 @@
 	restored   map[string]NodeCosts
 	restoredOf map[string]NodeCosts
 	statements map[incarnation]statement
+	demand     demandState
 }
 
 // serviceDemand is the demand of a service, in slots, by its position in Tracker.serviceNames.
