Exchange the demand by route and rank between nodes

Entry nodes can admit in one order across the fleet only if each knows the demand of all ranks.

Rows travel in the datagram of a report or usage report within the data centre, and on their own only if neither is due. Members that take demand say so in their record, because earlier versions stop reading a batch at an unknown kind. Sums are relayed behind the reports of a batch, so one datagram is built for each kind of member.

Ruled out: sums in the node's report, whose encoding earlier versions reject if it has another number of fields.

Tested: ten nodes of two data centres learn the demand of all within the test's time, relay to three versions (go test ./internal/peer/reporter). Nothing reports demand yet.

--- a/internal/peer/reporter/relay_test.go
+++ b/internal/peer/reporter/relay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"slices"
 	"testing"
 	"time"
 
@@ -65,3 +66,33 @@
 	assert.DeepEqual(t, received(t, f.old), a)
 	assert.DeepEqual(t, received(t, f.old), b)
 }
+
+// TestRelayDemand checks that the sums of another data centre are passed on once, after the reports and only to nodes that
+// take them: a node of an earlier version would lose the reports that follow them in a batch.
+func TestRelayDemand(t *testing.T) {
+	f := newRelay(t)
+	c, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer c.Close()
+	f.relay.Tracker.SetMember(tracker.Member{
+		Node: "newest", DataCentre: "here", ReportAddress: c.LocalAddr().String(), TakesBatches: true, TakesDemand: true,
+	})
+	sums := tracker.DataCentreDemand{DataCentre: "there", From: "a", Started: 1, Sequence: 1, Nodes: 2, Rows: []tracker.DemandRow{{Route: "order", Rank: 1, Rate: 5}}}
+	raw, err := sums.MarshalMsg([]byte{kindDataCentreDemand})
+	assert.NilError(t, err)
+	f.relay.handleDatagram(raw)
+	f.relay.handleDatagram(raw)
+	f.relay.handleDatagram(datagram(t, kindRelay, "a", ""))
+	f.relay.flush()
+	report := datagram(t, kindDirect, "a", "")
+	batch := received(t, c)
+	assert.DeepEqual(t, batch, slices.Concat([]byte{kindBatch}, report, raw))
+	assert.DeepEqual(t, received(t, f.new), slices.Concat([]byte{kindBatch}, report))
+	assert.DeepEqual(t, received(t, f.old), report)
+
+	receiver := &Reporter{Tracker: &tracker.Tracker{DataCentre: "here"}, OnUsages: func(*tracker.UsageReport, bool) {}}
+	receiver.Tracker.SetMember(tracker.Member{Node: "a", DataCentre: "there"})
+	receiver.handleDatagram(batch)
+	assert.DeepEqual(t, receiver.Tracker.Demand(time.Now())[0].Rows, sums.Rows)
+	assert.Equal(t, len(receiver.demandBatch), 0)
+}
--- a/internal/peer/reporter/reporter.go
+++ b/internal/peer/reporter/reporter.go
@@ -17,6 +17,7 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -73,6 +74,8 @@
 	BuildReport func() tracker.Report
 	// BuildUsages returns the account usages that the other nodes need soon, if any.
 	BuildUsages func() []tracker.AccountUsage
+	// BuildDemand, if set, returns the demand that enters at this node. The result must not be changed afterwards.
+	BuildDemand func() []tracker.DemandRow
 	// OnUsages is called with the account usages of each received report that is newer than the previous one from the
 	// same node. complete tells whether they are those of all accounts. Reports from unknown nodes are ignored.
 	OnUsages func(u *tracker.UsageReport, complete bool)
@@ -84,10 +87,13 @@
 	done    sync.WaitGroup
 
 	sequence uint64
+	demand   demandSender
 
 	batchMu sync.Mutex
 	// batch holds the received reports that are to be relayed, as a datagram. It is empty if there are none.
 	batch []byte
+	// demandBatch holds the received sums of other data centres that are to be relayed, each preceded by its kind.
+	demandBatch []byte
 }
 
 // Exchanger exchanges messages with other nodes. Messages may be lost.
@@ -133,6 +139,7 @@
 		case now := <-ticker.C:
 			r.flush()
 			r.exchange()
+			r.prepareDemand(now)
 			if now.Sub(last) >= r.period(minPeriod) {
 				last, lastUsage = now, now
 				report := r.BuildReport()
@@ -140,6 +147,7 @@
 				continue
 			}
 			if now.Sub(lastUsage) < max(UrgentPeriod, minUsagePeriod) {
+				r.sendPendingDemand()
 				continue
 			}
 			// An empty report tells the others that nothing has changed.
@@ -147,6 +155,7 @@
 				lastUsage = now
 				minUsagePeriod = time.Duration(r.sendUsages(usages)) * time.Second / maxUsageBytesPerSecond
 			}
+			r.sendPendingDemand()
 		}
 	}
 }
@@ -256,10 +265,19 @@
 		return 0
 	}
 	destinations := r.destinations()
+	withDemand, sent := r.withDemand(raw), 0
 	for _, to := range destinations {
+		if withDemand != nil && to.kind == kindDirect && to.TakesDemand {
+			r.write(withDemand, to.Member)
+			sent++
+			continue
+		}
 		raw[0] = base + to.kind
 		r.write(raw, to.Member)
 	}
+	if withDemand != nil {
+		r.demand.sent(sent)
+	}
 	return len(raw) * len(destinations)
 }
 
@@ -293,12 +311,27 @@
 	case kindCrashes:
 		r.handleCrashes(raw[1:])
 		return
+	case kindDemand:
+		r.handleDemand(raw[1:])
+		return
+	case kindDataCentreDemand:
+		r.handleSums(raw[1:], true)
+		return
 	default:
 		_ = r.handleOne(raw)
 		return
 	}
-	for raw = raw[1:]; len(raw) > 1 && (raw[0] == kindDirect || raw[0] == kindUsage); {
-		raw = r.handleOne(raw)
+	for raw = raw[1:]; len(raw) > 1; {
+		switch raw[0] {
+		case kindDirect, kindUsage:
+			raw = r.handleOne(raw)
+		case kindDemand:
+			raw = r.handleDemand(raw[1:])
+		case kindDataCentreDemand:
+			raw = r.handleSums(raw[1:], false)
+		default:
+			return
+		}
 	}
 }
 
@@ -338,13 +371,27 @@
 func (r *Reporter) flush() {
 	r.batchMu.Lock()
 	defer r.batchMu.Unlock()
-	if len(r.batch) == 0 {
+	if len(r.batch) == 0 && len(r.demandBatch) == 0 {
 		return
 	}
+	if len(r.batch) == 0 {
+		r.batch = append(r.batch, kindBatch)
+	}
+	batch := r.batch
+	if len(r.demandBatch) > 0 {
+		batch = slices.Concat(r.batch, r.demandBatch)
+	}
 	for _, m := range r.Tracker.OtherMembers() {
 		if m.DataCentre != r.Tracker.DataCentre {
 			continue
 		}
+		if m.TakesBatches && m.TakesDemand {
+			r.write(batch, m)
+			continue
+		}
+		if len(r.batch) == 1 {
+			continue
+		}
 		if m.TakesBatches {
 			r.write(r.batch, m)
 			continue
@@ -358,7 +405,7 @@
 			rest = next
 		}
 	}
-	r.batch = r.batch[:0]
+	r.batch, r.demandBatch = r.batch[:0], r.demandBatch[:0]
 }
 
 // handleReport applies a report. It returns the bytes that follow, or nil if it cannot be decoded, and whether the report
--- a/internal/peer/reporter/reporter_test.go
+++ b/internal/peer/reporter/reporter_test.go
@@ -13,8 +13,19 @@
 	"gotest.tools/v3/assert"
 )
 
+// totalDemand returns the demand that the reporter's node knows of.
+func totalDemand(r *reporter.Reporter) float32 {
+	total := float32(0)
+	for _, d := range r.Tracker.Demand(time.Now()) {
+		for _, row := range d.Rows {
+			total += row.Rate
+		}
+	}
+	return total
+}
+
 // TestReportsReachEveryNode checks that each node receives the reports of each other node, directly within a data
-// centre and through relays between data centres, the same for usage reports, and that malformed datagrams are ignored.
+// centre and through relays between data centres, the same for usage reports and demand, and that malformed datagrams are ignored.
 func TestReportsReachEveryNode(t *testing.T) {
 	for name, takesBatches := range map[string]func(i int) bool{
 		"nodes of an earlier version": func(int) bool { return false },
@@ -31,7 +42,7 @@
 	for i := range members {
 		c, err := net.ListenPacket("udp4", "127.0.0.1:0")
 		assert.NilError(t, err)
-		members[i] = tracker.Member{Node: fmt.Sprint(i), DataCentre: fmt.Sprint("dc-", i%2), ReportAddress: c.LocalAddr().String(), TakesBatches: takesBatches(i)}
+		members[i] = tracker.Member{Node: fmt.Sprint(i), DataCentre: fmt.Sprint("dc-", i%2), ReportAddress: c.LocalAddr().String(), TakesBatches: takesBatches(i), TakesDemand: takesBatches(i)}
 		assert.NilError(t, c.Close())
 	}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -50,6 +61,7 @@
 			BuildReport: func() tracker.Report {
 				return tracker.Report{Node: m.Node, AccountUsages: []tracker.AccountUsage{{Account: "shop", Admitted: float32(i)}}}
 			},
+			BuildDemand: func() []tracker.DemandRow { return []tracker.DemandRow{{Route: "order", Rank: 1, Rate: 1}} },
 			BuildUsages: func() []tracker.AccountUsage {
 				return []tracker.AccountUsage{{Account: "changed", Demand: float32(i)}, {Account: "shop"}}
 			},
@@ -73,6 +85,11 @@
 	all := func() bool {
 		mu.Lock()
 		defer mu.Unlock()
+		for _, r := range reporters {
+			if demand := totalDemand(r); takesBatches(0) && demand != n {
+				return false
+			}
+		}
 		return len(received) == 2*n*(n-1)
 	}
 	for end := time.Now().Add(10 * time.Second); !all() && time.Now().Before(end); {
@@ -84,6 +101,11 @@
 		r.Close()
 	}
 	assert.Equal(t, len(received), 2*n*(n-1))
+	if takesBatches(0) {
+		for _, r := range reporters {
+			assert.Equal(t, totalDemand(r), float32(n))
+		}
+	}
 	for pair, complete := range received {
 		assert.Assert(t, complete, pair)
 	}
