Report the recent rate of each row of demand, and the demand without ranks

A burst shows in an average over 250 ms, but at one node of a large fleet that average is mostly noise; only the sum over the nodes tells a rise from noise. So both averages travel, and the receiver compares the sums.

The demand that members of earlier versions report by service is summed up apart, as long as their rows are not known.

Tested: sums, decay and encoding of both rates, nodes with and without rows (go test ./internal/fleet/tracker ./internal/peer/reporter).

--- a/internal/fleet/tracker/demand.go
+++ b/internal/fleet/tracker/demand.go
@@ -27,6 +27,9 @@
 	Started  int64
 	Sequence uint64
 	Rows     []DemandRow `msg:",allownil"`
+	// Recent holds, for each row, the rate averaged over a shorter time than Rate. It shows a rise earlier, but at one node
+	// alone it is mostly noise. It may be empty.
+	Recent []float32 `msg:",allownil"`
 }
 
 // DataCentreDemand is the demand that enters at the nodes of a data centre. It is encoded as a list of its fields in this
@@ -42,6 +45,8 @@
 	AgeMs int
 	Nodes int
 	Rows  []DemandRow `msg:",allownil"`
+	// Recent holds the rate of each row averaged over a shorter time. It may be empty.
+	Recent []float32 `msg:",allownil"`
 }
 
 const (
@@ -81,7 +86,10 @@
 	sequence uint64
 }
 
-func areRowsSound(rows []DemandRow) bool {
+func areRowsSound(rows []DemandRow, recent []float32) bool {
+	if (len(recent) > 0 && len(recent) != len(rows)) || !areSound(recent...) {
+		return false
+	}
 	for i := range rows {
 		if r := &rows[i]; r.Rank < -1 || r.Rank > maxRank || !areSound(r.Rate) {
 			return false
@@ -94,7 +102,7 @@
 // node is unknown or of another data centre, if it has already sent a newer report or the same one, or if the report is
 // invalid. The rows must not be changed afterwards.
 func (t *Tracker) ApplyDemand(now time.Time, r *DemandReport) bool {
-	if !areRowsSound(r.Rows) {
+	if !areRowsSound(r.Rows, r.Recent) {
 		return false
 	}
 	t.mu.Lock()
@@ -122,7 +130,7 @@
 // data centre, if it has already sent newer ones or the same, or if they are invalid. The rows must not be changed
 // afterwards.
 func (t *Tracker) ApplyDataCentreDemand(now time.Time, d *DataCentreDemand) bool {
-	if !areRowsSound(d.Rows) || !areSound(float32(d.AgeMs), float32(d.Nodes)) || d.DataCentre == t.DataCentre {
+	if !areRowsSound(d.Rows, d.Recent) || !areSound(float32(d.AgeMs), float32(d.Nodes)) || d.DataCentre == t.DataCentre {
 		return false
 	}
 	t.mu.Lock()
@@ -172,10 +180,13 @@
 		d := c.sums
 		d.AgeMs = int(age.Milliseconds())
 		if share < 1 {
-			d.Rows = slices.Clone(d.Rows)
+			d.Rows, d.Recent = slices.Clone(d.Rows), slices.Clone(d.Recent)
 			for i := range d.Rows {
 				d.Rows[i].Rate *= share
 			}
+			for i := range d.Recent {
+				d.Recent[i] *= share
+			}
 		}
 		list = append(list, d)
 	}
@@ -191,7 +202,8 @@
 		route string
 		rank  int
 	}
-	index := map[key]int{}
+	type rates struct{ rate, recent float32 }
+	byKey := map[key]rates{}
 	var ages time.Duration
 	for node, n := range t.demand.byNode {
 		age := now.Sub(n.receivedAt)
@@ -202,21 +214,72 @@
 		}
 		sums.Nodes++
 		ages += age
-		for _, row := range n.report.Rows {
-			i, ok := index[key{row.Route, row.Rank}]
-			if !ok {
-				i = len(sums.Rows)
-				index[key{row.Route, row.Rank}] = i
-				sums.Rows = append(sums.Rows, DemandRow{Route: row.Route, Rank: row.Rank})
+		for i, row := range n.report.Rows {
+			recent := row.Rate
+			if len(n.report.Recent) > 0 {
+				recent = n.report.Recent[i]
 			}
-			sums.Rows[i].Rate += row.Rate * share
+			sum := byKey[key{row.Route, row.Rank}]
+			byKey[key{row.Route, row.Rank}] = rates{sum.rate + row.Rate*share, sum.recent + recent*share}
 		}
 	}
 	if sums.Nodes > 0 {
 		sums.AgeMs = int((ages / time.Duration(sums.Nodes)).Milliseconds())
 	}
+	for k, r := range byKey {
+		sums.Rows = append(sums.Rows, DemandRow{Route: k.route, Rank: k.rank, Rate: r.rate})
+	}
 	slices.SortFunc(sums.Rows, func(a, b DemandRow) int {
 		return cmp.Or(cmp.Compare(a.Rank, b.Rank), cmp.Compare(a.Route, b.Route))
 	})
+	for _, row := range sums.Rows {
+		sums.Recent = append(sums.Recent, byKey[key{row.Route, row.Rank}].recent)
+	}
 	return sums
 }
+
+// SetOwnDemand stores the demand that enters at this node, which is known here before it is reported. The slices must not
+// be changed afterwards.
+func (t *Tracker) SetOwnDemand(now time.Time, rows []DemandRow, recent []float32) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.demand.byNode == nil {
+		t.demand.byNode = map[string]*nodeDemand{}
+	}
+	n := t.demand.byNode[t.Self]
+	if n == nil {
+		n = &nodeDemand{}
+		t.demand.byNode[t.Self] = n
+	}
+	n.report.Rows, n.report.Recent, n.receivedAt = rows, recent, now
+}
+
+// UnrankedDemand returns the demand, in slots by service, of the other nodes that send reports but whose demand by rank is
+// not known, and the number of these nodes.
+func (t *Tracker) UnrankedDemand(now time.Time) (slots map[string]float64, nodes int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	slots = map[string]float64{}
+	for _, p := range t.peers {
+		if p.Node == t.Self || p.report.Sequence == 0 || t.reportOverdue(now, p) || t.knowsDemand(now, p) {
+			continue
+		}
+		nodes++
+		for _, d := range p.demand {
+			slots[t.serviceNames[d.service]] += d.slots
+		}
+	}
+	return slots, nodes
+}
+
+// knowsDemand reports whether the demand of the node by rank is known. The caller holds the mutex.
+func (t *Tracker) knowsDemand(now time.Time, p *peer) bool {
+	if !p.TakesDemand {
+		return false
+	}
+	if p.DataCentre == t.DataCentre {
+		return t.demand.byNode[p.Node] != nil
+	}
+	c := t.demand.byDataCentre[p.DataCentre]
+	return c != nil && now.Sub(c.receivedAt) < maxDemandAge+demandDecay
+}
--- a/internal/fleet/tracker/demand_gen.go
+++ b/internal/fleet/tracker/demand_gen.go
@@ -15,8 +15,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *DataCentreDemand) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 7
-	o = append(o, 0x97)
+	// array header, size 8
+	o = append(o, 0x98)
 	o = msgp.AppendString(o, z.DataCentre)
 	o = msgp.AppendString(o, z.From)
 	o = msgp.AppendInt64(o, z.Started)
@@ -35,6 +35,14 @@
 			o = msgp.AppendFloat32(o, z.Rows[za0001].Rate)
 		}
 	}
+	if z.Recent == nil { // allownil: if nil
+		o = msgp.AppendNil(o)
+	} else {
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Recent)))
+		for za0002 := range z.Recent {
+			o = msgp.AppendFloat32(o, z.Recent[za0002])
+		}
+	}
 	return
 }
 
@@ -46,8 +54,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 7 {
-		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
+	if zb0001 != 8 {
+		err = msgp.ArrayError{Wanted: 8, Got: zb0001}
 		return
 	}
 	z.DataCentre, bts, err = msgp.ReadStringBytes(bts)
@@ -127,6 +135,33 @@
 			}
 		}
 	}
+	if msgp.IsNil(bts) {
+		bts = bts[1:]
+		z.Recent = nil
+	} else {
+		var zb0004 uint32
+		zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Recent")
+			return
+		}
+		if zb0004 > z9b8f99a6limitArrays {
+			err = msgp.ErrLimitExceeded
+			return
+		}
+		if z.Recent != nil && cap(z.Recent) >= int(zb0004) {
+			z.Recent = (z.Recent)[:zb0004]
+		} else {
+			z.Recent = make([]float32, zb0004)
+		}
+		for za0002 := range z.Recent {
+			z.Recent[za0002], bts, err = msgp.ReadFloat32Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Recent", za0002)
+				return
+			}
+		}
+	}
 	o = bts
 	return
 }
@@ -137,14 +172,15 @@
 	for za0001 := range z.Rows {
 		s += 1 + msgp.StringPrefixSize + len(z.Rows[za0001].Route) + msgp.IntSize + msgp.Float32Size
 	}
+	s += msgp.ArrayHeaderSize + (len(z.Recent) * (msgp.Float32Size))
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *DemandReport) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 4
-	o = append(o, 0x94)
+	// array header, size 5
+	o = append(o, 0x95)
 	o = msgp.AppendString(o, z.Node)
 	o = msgp.AppendInt64(o, z.Started)
 	o = msgp.AppendUint64(o, z.Sequence)
@@ -160,6 +196,14 @@
 			o = msgp.AppendFloat32(o, z.Rows[za0001].Rate)
 		}
 	}
+	if z.Recent == nil { // allownil: if nil
+		o = msgp.AppendNil(o)
+	} else {
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Recent)))
+		for za0002 := range z.Recent {
+			o = msgp.AppendFloat32(o, z.Recent[za0002])
+		}
+	}
 	return
 }
 
@@ -171,8 +215,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 4 {
-		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+	if zb0001 != 5 {
+		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
 		return
 	}
 	z.Node, bts, err = msgp.ReadStringBytes(bts)
@@ -237,6 +281,33 @@
 			}
 		}
 	}
+	if msgp.IsNil(bts) {
+		bts = bts[1:]
+		z.Recent = nil
+	} else {
+		var zb0004 uint32
+		zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Recent")
+			return
+		}
+		if zb0004 > z9b8f99a6limitArrays {
+			err = msgp.ErrLimitExceeded
+			return
+		}
+		if z.Recent != nil && cap(z.Recent) >= int(zb0004) {
+			z.Recent = (z.Recent)[:zb0004]
+		} else {
+			z.Recent = make([]float32, zb0004)
+		}
+		for za0002 := range z.Recent {
+			z.Recent[za0002], bts, err = msgp.ReadFloat32Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Recent", za0002)
+				return
+			}
+		}
+	}
 	o = bts
 	return
 }
@@ -247,6 +318,7 @@
 	for za0001 := range z.Rows {
 		s += 1 + msgp.StringPrefixSize + len(z.Rows[za0001].Route) + msgp.IntSize + msgp.Float32Size
 	}
+	s += msgp.ArrayHeaderSize + (len(z.Recent) * (msgp.Float32Size))
 	return
 }
 
--- a/internal/fleet/tracker/demand_test.go
+++ b/internal/fleet/tracker/demand_test.go
@@ -36,7 +36,7 @@
 	assert.Assert(t, tr.ApplyDemand(now, report("a", 30)))
 	got := tr.Demand(now)
 	assert.DeepEqual(t, got, []DataCentreDemand{
-		{DataCentre: "here", From: "a", AgeMs: 1000, Nodes: 2, Rows: []DemandRow{{"stock", -1, 2}, {"order", 3, 40}}},
+		{DataCentre: "here", From: "a", AgeMs: 1000, Nodes: 2, Rows: []DemandRow{{"stock", -1, 2}, {"order", 3, 40}}, Recent: []float32{2, 40}},
 		{DataCentre: "there", From: "c", Started: 1, Sequence: 1, AgeMs: 2100, Nodes: 2, Rows: []DemandRow{{"order", 3, 20}}},
 	})
 	// After 5.25 s the demand of b is 1.75 s past the limit, so that half of it counts.
@@ -50,7 +50,7 @@
 
 // TestDemandEncoding checks that both messages are decoded as they were encoded.
 func TestDemandEncoding(t *testing.T) {
-	sums := DataCentreDemand{DataCentre: "there", From: "c", Started: 1, Sequence: 2, AgeMs: 3, Nodes: 4, Rows: []DemandRow{{"order", -1, 5}}}
+	sums := DataCentreDemand{DataCentre: "there", From: "c", Started: 1, Sequence: 2, AgeMs: 3, Nodes: 4, Rows: []DemandRow{{"order", -1, 5}}, Recent: []float32{6}}
 	raw, err := sums.MarshalMsg(nil)
 	assert.NilError(t, err)
 	var decoded DataCentreDemand
@@ -58,7 +58,7 @@
 	assert.NilError(t, err)
 	assert.Equal(t, len(rest), 0)
 	assert.DeepEqual(t, decoded, sums)
-	report := DemandReport{Node: "a", Started: 1, Sequence: 2, Rows: sums.Rows}
+	report := DemandReport{Node: "a", Started: 1, Sequence: 2, Rows: sums.Rows, Recent: sums.Recent}
 	raw, err = report.MarshalMsg(nil)
 	assert.NilError(t, err)
 	var decodedReport DemandReport
@@ -66,3 +66,21 @@
 	assert.NilError(t, err)
 	assert.DeepEqual(t, decodedReport, report)
 }
+
+// TestUnrankedDemand checks that the demand of a node of an earlier version counts by service, and that of a node which
+// reports its rows does not count twice.
+func TestUnrankedDemand(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	tr := &Tracker{Self: "a", DataCentre: "here", ReportTimeout: time.Minute}
+	tr.SetMember(Member{Node: "old", DataCentre: "here"})
+	tr.SetMember(Member{Node: "new", DataCentre: "here", TakesDemand: true})
+	for _, node := range []string{"old", "new"} {
+		assert.Assert(t, tr.ApplyReport(now, &Report{Node: node, Started: 1, Sequence: 1, Demand: map[string]float32{"press": 5}}))
+	}
+	slots, nodes := tr.UnrankedDemand(now)
+	assert.Assert(t, slots["press"] == 10 && nodes == 2, "%v %v", slots, nodes)
+	assert.Assert(t, tr.ApplyDemand(now, &DemandReport{Node: "new", Started: 1, Sequence: 1}))
+	slots, nodes = tr.UnrankedDemand(now)
+	assert.Assert(t, slots["press"] == 5 && nodes == 1, "%v %v", slots, nodes)
+	assert.Assert(t, !tr.ApplyDemand(now, &DemandReport{Node: "new", Started: 1, Sequence: 2, Recent: []float32{1}}), "lengths differ")
+}
--- a/internal/peer/reporter/demand.go
+++ b/internal/peer/reporter/demand.go
@@ -47,10 +47,11 @@
 		return
 	}
 	d := &r.demand
-	if now.Sub(d.sentAt) >= r.period(d.minPeriod) {
+	if now.Sub(d.sentAt) >= r.demandPeriod() {
 		d.sentAt = now
 		r.sequence++
-		report := &tracker.DemandReport{Node: r.Tracker.Self, Started: r.started, Sequence: r.sequence, Rows: r.BuildDemand()}
+		rows, recent := r.BuildDemand()
+		report := &tracker.DemandReport{Node: r.Tracker.Self, Started: r.started, Sequence: r.sequence, Rows: rows, Recent: recent}
 		r.Tracker.ApplyDemand(now, report)
 		raw, err := report.MarshalMsg([]byte{kindDemand})
 		if err == nil && len(raw) <= maxReportBytes {
@@ -60,6 +61,14 @@
 	r.sendSums(now)
 }
 
+// demandPeriod returns the time between two reports of demand.
+func (r *Reporter) demandPeriod() time.Duration {
+	if r.DemandUrgent != nil && r.DemandUrgent() {
+		return max(UrgentPeriod, r.demand.minPeriod)
+	}
+	return r.period(r.demand.minPeriod)
+}
+
 // sendPendingDemand sends the demand that no report has taken along.
 func (r *Reporter) sendPendingDemand() {
 	if len(r.demand.pending) == 0 {
@@ -109,10 +118,10 @@
 		return
 	}
 	total := 0.0
-	for _, row := range sums.Rows {
-		total += float64(row.Rate)
+	for _, rate := range sums.Recent {
+		total += float64(rate)
 	}
-	if !due && !r.Urgent() && math.Abs(total-d.sumsTotal) <= changedDemand*d.sumsTotal {
+	if !due && r.demandPeriod() >= Period && math.Abs(total-d.sumsTotal) <= changedDemand*d.sumsTotal {
 		return
 	}
 	d.sumsAt, d.sumsTotal = now, total
--- a/internal/peer/reporter/reporter.go
+++ b/internal/peer/reporter/reporter.go
@@ -74,8 +74,10 @@
 	BuildReport func() tracker.Report
 	// BuildUsages returns the account usages that the other nodes need soon, if any.
 	BuildUsages func() []tracker.AccountUsage
-	// BuildDemand, if set, returns the demand that enters at this node. The result must not be changed afterwards.
-	BuildDemand func() []tracker.DemandRow
+	// BuildDemand, if set, returns the demand that enters at this node and the recent rate of each row. The result must not
+	// be changed afterwards. DemandUrgent, if set, returns whether the other nodes need the demand sooner than reports.
+	BuildDemand  func() ([]tracker.DemandRow, []float32)
+	DemandUrgent func() bool
 	// OnUsages is called with the account usages of each received report that is newer than the previous one from the
 	// same node. complete tells whether they are those of all accounts. Reports from unknown nodes are ignored.
 	OnUsages func(u *tracker.UsageReport, complete bool)
--- a/internal/peer/reporter/reporter_test.go
+++ b/internal/peer/reporter/reporter_test.go
@@ -61,7 +61,9 @@
 			BuildReport: func() tracker.Report {
 				return tracker.Report{Node: m.Node, AccountUsages: []tracker.AccountUsage{{Account: "shop", Admitted: float32(i)}}}
 			},
-			BuildDemand: func() []tracker.DemandRow { return []tracker.DemandRow{{Route: "order", Rank: 1, Rate: 1}} },
+			BuildDemand: func() ([]tracker.DemandRow, []float32) {
+				return []tracker.DemandRow{{Route: "order", Rank: 1, Rate: 1}}, []float32{1}
+			},
 			BuildUsages: func() []tracker.AccountUsage {
 				return []tracker.AccountUsage{{Account: "changed", Demand: float32(i)}, {Account: "shop"}}
 			},
