Admit by the demand of the whole fleet

Each node distributed the fleet's share of its own demand by rank, so a node with unimportant requests admitted them while another one refused important ones. The demand was averaged over 1 s and limits moved by 0.4 of the distance, so that a burst was admitted in full for half a second.

Nodes report their rows of demand and admit by the prioritizer's decision on the sums. A node that knows no other node's demand uses an equal part of the capacity that it hears of. Targets that say that they leave no longer count as capacity. Demand is reported at the urgent interval while a service is above 0.7 of its capacity; full reports are not.

The tests of the allocator pass the same capacity as before, in slots instead of shares; their bounds are unchanged.

--- a/internal/caller/gateway/gateway.go
+++ b/internal/caller/gateway/gateway.go
@@ -220,7 +220,9 @@
 			return &refusal{http.StatusTooManyRequests, "over-rate", retryAfter}
 		}
 	}
-	if !q.childCall {
+	if q.childCall {
+		g.Shedder.CountCall(q.route.Name)
+	} else {
 		class := allocator.Class{Route: q.route.Name, Rank: q.rank}
 		if ok, fraction := g.Shedder.Admit(class); !ok {
 			return &refusal{http.StatusServiceUnavailable, "overload", time.Duration(float64(overloadRetryAfter) / max(fraction, 0.1))}
--- a/internal/caller/gateway/limits.go
+++ b/internal/caller/gateway/limits.go
@@ -110,12 +110,25 @@
 	return s.allocator.UpdateDemand(time.Now(), costs)
 }
 
-// UpdateFractions computes the admitted fraction of each class. shares holds, by service, the share of its demand that
-// the service can serve.
-func (s *Shedder) UpdateFractions(costs allocator.TotalCosts, shares map[string]float64) {
+// UpdateFractions computes the admitted fraction of each class as allocator.Allocator does.
+func (s *Shedder) UpdateFractions(costs allocator.TotalCosts, demand []allocator.Demand, capacity, unranked map[string]float64) (utilisation float64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.allocator.UpdateFractions(costs, shares)
+	return s.allocator.UpdateFractions(costs, demand, capacity, unranked)
+}
+
+// CountCall counts a child call of the route as demand.
+func (s *Shedder) CountCall(route string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.allocator.CountCall(time.Now(), route)
+}
+
+// Demand returns the demand of each class at this node, child calls included.
+func (s *Shedder) Demand() []allocator.Demand {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.allocator.Demand()
 }
 
 // rotation splits the requests of a route among its parts by smooth weighted round robin.
--- a/internal/fleet/tracker/service.go
+++ b/internal/fleet/tracker/service.go
@@ -29,7 +29,7 @@
 				known[d.service] = true
 			}
 		}
-		if p.State != Ready || !p.report.Up || p.report.Limit == 0 {
+		if p.State != Ready || !p.report.Up || p.report.Limit == 0 || t.statements[p.incarnation()].leaving {
 			continue
 		}
 		i := t.serviceIndex(p.Service)
--- a/internal/node/attendant/attendant.go
+++ b/internal/node/attendant/attendant.go
@@ -117,6 +117,7 @@
 	planMu        sync.Mutex
 	demand        map[string]float64
 	admittedShare float64
+	admission     admission
 	correction    regulator.Correction
 }
 
@@ -162,6 +163,7 @@
 	a.reporter = &reporter.Reporter{
 		Listen: cfg.IP + ":" + strconv.Itoa(cfg.ReportPort), Tracker: a.tracker, Urgent: a.urgent, BuildReport: a.buildReport,
 		BuildUsages: a.gateway.RateLimits.UnreportedUsages, OnUsages: a.gateway.RateLimits.Receive, Crashes: a.isolator,
+		BuildDemand: a.buildDemand, DemandUrgent: a.demandUrgent,
 	}
 	a.servers = a.newServers()
 	debug.SetGCPercent(gcPercent)
--- a/internal/node/attendant/report.go
+++ b/internal/node/attendant/report.go
@@ -24,7 +24,7 @@
 	for name, s := range services {
 		shares[name] = regulator.AdmittedShare(s.Slots, s.Correction, s.Demand+demand[name])
 	}
-	a.gateway.Shedder.UpdateFractions(costs, shares)
+	a.updateAdmission(now, costs, services)
 	a.planMu.Lock()
 	defer a.planMu.Unlock()
 	a.demand = demand
@@ -201,6 +201,7 @@
 		State:          tracker.Ready,
 		WarmUpEndMs:    t.WarmUpEnd.UnixMilli(),
 		TakesBatches:   true,
+		TakesDemand:    true,
 
 		RecognisesCopies: true,
 	}
--- a/internal/policy/allocator/allocator.go
+++ b/internal/policy/allocator/allocator.go
@@ -1,18 +1,15 @@
-// Package allocator decides at the entry node which requests are admitted. The capacity of each constrained
-// service is allocated to the requests that use it, in order of rank and, within a rank, of increasing cost.
+// Package allocator decides at the entry node which requests are admitted. It measures the demand of each class of requests
+// and admits of each the fraction that the prioritizer computes from the demand of the whole fleet.
 package allocator
 
 import (
-	"cmp"
-	"slices"
 	"time"
+
+	"github.com/plantainwheel/plantainwheel/internal/policy/prioritizer"
 )
 
 // Class identifies requests that are admitted or refused alike.
-type Class struct {
-	Route string
-	Rank  int
-}
+type Class = prioritizer.Class
 
 // TotalCosts holds, by route and service, how much one request of the route uses the service, in slot seconds.
 // This includes all calls that the request causes.
@@ -21,33 +18,40 @@
 const (
 	// demandWindow is the time constant of the moving average of the demand.
 	demandWindow = time.Second
+	// recentWindow is the time constant of the average that shows a rise. Updates that are 100 ms apart then follow a step
+	// to five sixths within 200 ms.
+	recentWindow = time.Second / 6
 	// idleTimeout is the time without requests after which a class is removed.
 	idleTimeout = 10 * time.Second
-	// limitSmoothing is the fraction of the distance to a new limit by which one update moves the limit.
-	limitSmoothing = 0.4
-	// unlimitedThreshold is the admitted fraction above which a limit is removed.
-	unlimitedThreshold = 0.995
 	// maxCredit bounds the credit that a class accumulates, in requests: a higher bound would admit bursts.
 	maxCredit = 2.0
+	// minReported is the rate below which a class is not reported, in requests per second.
+	minReported = 0.02
 )
 
+// ChildCallRank is the rank of child calls, which are counted as demand but not admitted here.
+const ChildCallRank = -1
+
 // Allocator holds the admitted fraction of each class at an entry node. It is not safe for concurrent use.
 type Allocator struct {
 	classes map[Class]*class
 	// startedAt is the time of the first measurement.
-	startedAt  time.Time
-	measuredAt time.Time
+	startedAt   time.Time
+	measuredAt  time.Time
+	prioritizer prioritizer.Prioritizer
+	// costs are those of the last update.
+	costs TotalCosts
 }
 
 type class struct {
 	Class
-	// offered counts the requests since the last measurement; rate is the average demand in requests per second.
-	offered int
-	rate    float64
-	// limits holds, by service, the fraction that the service admits; fraction is the minimum over all
-	// services.
-	limits   map[string]float64
+	// offered counts the requests since the last measurement; rate is the average demand in requests per second, recent the
+	// average over recentWindow.
+	offered      int
+	rate, recent float64
+	// fraction is the admitted fraction and service the service that limits the class, if any.
 	fraction float64
+	service  string
 	// credit accumulates fraction with each request; an admitted request consumes 1.
 	credit float64
 	// lastSeen is the time of the latest request of the class.
@@ -57,27 +61,38 @@
 // admittedElsewhere returns the fraction of the class that the limits of all services other than the given one
 // admit.
 func (c *class) admittedElsewhere(service string) float64 {
-	fraction := 1.0
-	for name, limit := range c.limits {
-		if name != service {
-			fraction = min(fraction, limit)
-		}
+	if c.service == service {
+		return 1
 	}
-	return fraction
+	return c.fraction
 }
 
-// Admit counts a request as demand and reports whether it is admitted.
-func (a *Allocator) Admit(now time.Time, key Class) bool {
+// class returns the class with the key and counts a request of it.
+func (a *Allocator) class(now time.Time, key Class) *class {
 	if a.classes == nil {
 		a.classes = map[Class]*class{}
 	}
 	c := a.classes[key]
 	if c == nil {
-		c = &class{Class: key, fraction: 1, limits: map[string]float64{}}
+		c = &class{Class: key, fraction: 1}
+		if key.Rank != ChildCallRank {
+			c.fraction, c.service = a.prioritizer.Fraction(key, a.costs[key.Route])
+		}
 		a.classes[key] = c
 	}
 	c.offered++
 	c.lastSeen = now
+	return c
+}
+
+// CountCall counts a child call of the route as demand.
+func (a *Allocator) CountCall(now time.Time, route string) {
+	a.class(now, Class{Route: route, Rank: ChildCallRank})
+}
+
+// Admit counts a request as demand and reports whether it is admitted.
+func (a *Allocator) Admit(now time.Time, key Class) bool {
+	c := a.class(now, key)
 	if c.fraction >= 1 {
 		return true
 	}
@@ -103,6 +118,9 @@
 	a.measure(now)
 	demand := map[string]float64{}
 	for _, c := range a.classes {
+		if c.Rank == ChildCallRank {
+			continue
+		}
 		for service, cost := range costs[c.Route] {
 			demand[service] += c.rate * cost * c.admittedElsewhere(service)
 		}
@@ -110,48 +128,34 @@
 	return demand
 }
 
-// UpdateFractions updates the admitted fraction of each class. shares holds the fraction of its demand that each
-// constrained service can serve; a service that is missing in shares can serve all of its demand.
-func (a *Allocator) UpdateFractions(costs TotalCosts, shares map[string]float64) {
-	next := map[*class]map[string]float64{}
+// Demand returns the demand of each class at this node, child calls included.
+func (a *Allocator) Demand() []Demand {
+	list := make([]Demand, 0, len(a.classes))
 	for _, c := range a.classes {
-		next[c] = map[string]float64{}
-	}
-	for service, share := range shares {
-		if share < 1 {
-			a.allocate(service, share, costs, next)
+		if max(c.rate, c.recent) >= minReported {
+			list = append(list, Demand{Class: c.Class, Rate: c.rate, Recent: c.recent})
 		}
 	}
-	for c, limits := range next {
-		c.smoothLimits(limits)
-	}
+	return list
 }
 
-// smoothLimits moves the current limits towards the given ones in steps. Without smoothing, two services that
-// limit the same class would open and close alternately, because each one reacts to the demand that the other
-// refuses.
-func (c *class) smoothLimits(limits map[string]float64) {
-	c.fraction = 1
-	for service := range limits {
-		if _, ok := c.limits[service]; !ok {
-			c.limits[service] = 1
-		}
-	}
-	for service, old := range c.limits {
-		limit, ok := limits[service]
-		if !ok {
-			limit = 1
-		}
-		limit = old + limitSmoothing*(limit-old)
-		if limit > unlimitedThreshold {
-			delete(c.limits, service)
-			continue
+// UpdateFractions updates the admitted fraction of each class. demand is that of the whole fleet with each class once,
+// capacity the number of slots of each service that may be used, and unranked the demand by service, in slots, whose rank
+// is unknown. It returns the demand of the service that is used most, in relation to its capacity.
+func (a *Allocator) UpdateFractions(costs TotalCosts, demand []Demand, capacity, unranked map[string]float64) (utilisation float64) {
+	a.costs = costs
+	a.prioritizer.Update(effective(demand), costs, capacity, unranked)
+	for _, c := range a.classes {
+		if c.Rank != ChildCallRank {
+			c.fraction, c.service = a.prioritizer.Fraction(c.Class, costs[c.Route])
 		}
-		c.limits[service] = limit
-		c.fraction = min(c.fraction, limit)
 	}
+	return a.prioritizer.Utilisation()
 }
 
+// Cuts returns the cut of each service that limits any class.
+func (a *Allocator) Cuts() map[string]prioritizer.Cut { return a.prioritizer.Cuts() }
+
 func (a *Allocator) measure(now time.Time) {
 	elapsed := now.Sub(a.measuredAt)
 	if a.measuredAt.IsZero() || elapsed <= 0 {
@@ -176,40 +180,12 @@
 // class does not count: it begins with a request, so that the rate of rare classes would be overestimated.
 func (c *class) measure(elapsed, window time.Duration) {
 	weight := min(1, elapsed.Seconds()/window.Seconds())
-	c.rate += weight * (float64(c.offered)/elapsed.Seconds() - c.rate)
+	rate := float64(c.offered) / elapsed.Seconds()
+	c.rate += weight * (rate - c.rate)
+	c.recent += min(1, elapsed.Seconds()/min(recentWindow, window).Seconds()) * (rate - c.recent)
 	c.offered = 0
 }
 
-// allocate distributes the capacity of one service among the classes that use it: by rank, then by cost per
-// request.
-func (a *Allocator) allocate(service string, share float64, costs TotalCosts, next map[*class]map[string]float64) {
-	var classes []*class
-	total := 0.0
-	for _, c := range a.classes {
-		if cost := costs[c.Route][service]; cost > 0 {
-			classes = append(classes, c)
-			total += c.rate * cost * c.admittedElsewhere(service)
-		}
-	}
-	slices.SortFunc(classes, func(x, y *class) int {
-		return cmp.Or(
-			cmp.Compare(x.Rank, y.Rank),
-			cmp.Compare(costs[x.Route][service], costs[y.Route][service]),
-			cmp.Compare(x.Route, y.Route))
-	})
-	remaining := share * total
-	for _, c := range classes {
-		fraction := c.admittedElsewhere(service)
-		demand := c.rate * costs[c.Route][service] * fraction
-		limit := 1.0
-		if demand > remaining {
-			limit = fraction * max(remaining, 0) / demand
-		}
-		next[c][service] = limit
-		remaining -= demand
-	}
-}
-
 // maxDepth bounds the traversal of the call graph. Calls are up to 11 levels deep at the target size.
 const maxDepth = 12
 
--- a/internal/policy/allocator/allocator_test.go
+++ b/internal/policy/allocator/allocator_test.go
@@ -50,6 +50,25 @@
 	perSecond int
 }
 
+// update lets the only node of a fleet admit the given share of its demand at each service.
+func update(a *allocator.Allocator, now time.Time, costs allocator.TotalCosts, shares map[string]float64) {
+	demand := a.UpdateDemand(now, costs)
+	a.UpdateFractions(costs, a.Demand(), capacities(demand, shares), nil)
+}
+
+// capacities returns the slots that serve the given shares of the demand. A service that can serve all of its demand has
+// slots to spare.
+func capacities(demand, shares map[string]float64) map[string]float64 {
+	slots := map[string]float64{}
+	for service, share := range shares {
+		slots[service] = share * demand[service]
+		if share >= 1 {
+			slots[service] = math.Inf(1)
+		}
+	}
+	return slots
+}
+
 // replay offers a mix of requests for a number of seconds, with updates of the fractions every 100 ms, and returns
 // the admitted fraction of each class in the last second.
 func replay(a *allocator.Allocator, mix []class, shares map[string]float64, seconds int) map[allocator.Class]float64 {
@@ -60,8 +79,7 @@
 		clear(admitted)
 		for range 10 {
 			now = now.Add(100 * time.Millisecond)
-			a.UpdateDemand(now, costs)
-			a.UpdateFractions(costs, shares)
+			update(a, now, costs, shares)
 			for _, c := range mix {
 				for range c.perSecond / 10 {
 					if a.Admit(now, c.Class) {
@@ -122,7 +140,7 @@
 		for service, n := range slots {
 			shares[service] = min(1, n/demand[service])
 		}
-		a.UpdateFractions(costs, shares)
+		a.UpdateFractions(costs, a.Demand(), capacities(demand, shares), nil)
 		clear(admitted)
 		for _, c := range mix {
 			for range c.perSecond / 10 {
@@ -152,7 +170,7 @@
 		for service, n := range slots {
 			shares[service] = min(1, n/demand[service])
 		}
-		a.UpdateFractions(costs, shares)
+		a.UpdateFractions(costs, a.Demand(), capacities(demand, shares), nil)
 		for range 40 {
 			if a.Admit(now, c) && i >= 50 {
 				admitted += 1.0 / (40 * 50)
--- a/internal/policy/prioritizer/prioritizer.go
+++ b/internal/policy/prioritizer/prioritizer.go
@@ -52,7 +52,8 @@
 	limited  map[Class]*limit
 	cells    []cell
 	// unranked is the demand without a known rank, by service, in slots.
-	unranked map[string]float64
+	unranked    map[string]float64
+	utilisation float64
 }
 
 // service is the state of one decision about a service. All but the cut is in slots.
@@ -125,7 +126,11 @@
 			}
 		}
 	}
+	p.utilisation = 0
 	for name, s := range p.services {
+		if s.demand > 0 {
+			p.utilisation = max(p.utilisation, s.demand/s.capacity)
+		}
 		s.capacity = max(s.capacity, minShare*s.demand)
 		if s.capacity >= s.demand {
 			delete(p.services, name)
@@ -297,6 +302,9 @@
 	return slices.ContainsFunc(p.cells, func(c cell) bool { return c.Class == class })
 }
 
+// Utilisation returns the demand of the service that is used most, in relation to its capacity.
+func (p *Prioritizer) Utilisation() float64 { return p.utilisation }
+
 // Cuts returns the cut of each service that limits any class.
 func (p *Prioritizer) Cuts() map[string]Cut {
 	cuts := map[string]Cut{}
--- a/internal/policy/regulator/regulator.go
+++ b/internal/policy/regulator/regulator.go
@@ -98,11 +98,14 @@
 	c.value = min(max(c.Value()*(1+gain*relativeError), minCorrection), maxCorrection)
 }
 
+// Capacity returns the number of slots that may be in use at the set point.
+func Capacity(slots int, correction float64) float64 { return Setpoint * correction * float64(slots) }
+
 // AdmittedShare returns the fraction of the demand that the given number of slots can serve. The demand is in
 // slots.
 func AdmittedShare(slots int, correction, demand float64) float64 {
 	if demand <= 0 {
 		return 1
 	}
-	return min(max(Setpoint*correction*float64(slots)/demand, MinShare), 1)
+	return min(max(Capacity(slots, correction)/demand, MinShare), 1)
 }
