Lower the correction at once when a target rejects requests

Requests that targets reject are missing capacity, but the correction followed the load only, and a target that rejects looks idle.

Each node counts the answers and rejections of its target in periods of 100 ms. The correction follows their share at once, then each 300 ms, because requests admitted before go on arriving; it does not rise within 1 s of rejections. Reports are urgent meanwhile.

Measured: with half of the capacity gone, the correction is below 0.65 within 0.3 s and stays above 0.3 for the next 0.7 s (TestRejectionsLowerCapacity).

--- a/internal/node/attendant/report.go
+++ b/internal/node/attendant/report.go
@@ -25,11 +25,13 @@
 		shares[name] = regulator.AdmittedShare(s.Slots, s.Correction, s.Demand+demand[name])
 	}
 	a.updateAdmission(now, costs, services)
+	rejected := a.executor.Load().Rejected
 	a.planMu.Lock()
 	defer a.planMu.Unlock()
 	a.demand = demand
 	service := a.executor.Target().Service
 	a.admittedShare = min(1, shares[service])
+	a.correction.Reject(now, rejected)
 	a.correction.Tick(now, services[service].Load)
 }
 
@@ -92,7 +94,7 @@
 // or the node has just started.
 func (a *Attendant) urgent() bool {
 	load := a.executor.Load()
-	if time.Since(a.started) < startupUrgentPeriod || time.Since(load.CrashedAt) < crashUrgentPeriod || load.Mean > urgentLoad {
+	if time.Since(a.started) < startupUrgentPeriod || time.Since(load.CrashedAt) < crashUrgentPeriod || load.Mean > urgentLoad || load.Rejected > 0 {
 		return true
 	}
 	a.planMu.Lock()
--- a/internal/policy/regulator/regulator.go
+++ b/internal/policy/regulator/regulator.go
@@ -74,6 +74,9 @@
 type Correction struct {
 	value    float64
 	lastTick time.Time
+	// rejectedAt is when the target last rejected requests, and loweredAt when the factor last followed rejections.
+	rejectedAt time.Time
+	loweredAt  time.Time
 }
 
 // Value returns the current factor; 1 means no correction.
@@ -95,6 +98,9 @@
 		// Much of the service is idle, because the factor was learned before targets were lost or started.
 		relativeError *= largeErrorFactor
 	}
+	if relativeError > 0 && !c.rejectedAt.IsZero() && now.Sub(c.rejectedAt) < rejectionHold {
+		return
+	}
 	c.value = min(max(c.Value()*(1+gain*relativeError), minCorrection), maxCorrection)
 }
 
--- a/internal/policy/regulator/regulator_test.go
+++ b/internal/policy/regulator/regulator_test.go
@@ -101,3 +101,27 @@
 	mean := m.Mean(now.Add(100 * time.Millisecond))
 	assert.Assert(t, mean > 0.811 && mean < 0.814, "half of 0.5 and half of 1 with 10 of 20 waiting: %.4f", mean)
 }
+
+// TestRejectionsLowerCapacity replays a service whose targets suddenly serve half of what their slots tell and reject the
+// rest. 300 ms later, the admitted demand must be halved; rejected requests must not make the service look idle.
+func TestRejectionsLowerCapacity(t *testing.T) {
+	const slots = 80
+	var correction regulator.Correction
+	var rejections regulator.Rejections
+	now := time.Unix(1_800_000_000, 0)
+	for i := range 40 {
+		capacity := regulator.Capacity(slots, correction.Value())
+		for k := range int(capacity) {
+			rejections.Observe(now.Add(time.Duration(k)*time.Millisecond), i >= 10 && k >= slots/2)
+		}
+		now = now.Add(regulator.Period)
+		correction.Reject(now, rejections.Share(now))
+		correction.Tick(now, min(capacity, slots/2)/slots)
+		if i >= 13 {
+			assert.Assert(t, correction.Value() < 0.65, "step %d: %.2f", i, correction.Value())
+		}
+		if i >= 13 && i < 20 {
+			assert.Assert(t, correction.Value() > 0.3, "step %d: %.2f", i, correction.Value())
+		}
+	}
+}
--- a/internal/target/executor/answer.go
+++ b/internal/target/executor/answer.go
@@ -63,6 +63,7 @@
 	now := time.Now()
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.rejections.Observe(now, a.NotRun && a.Reason == ReasonTargetShed)
 	rate := e.decayedFailureRate(now)
 	e.failureRate = rate + failureWeight*(failure-rate)
 	e.failureRateAt = now
--- a/internal/target/executor/executor.go
+++ b/internal/target/executor/executor.go
@@ -104,6 +104,8 @@
 	Mean float64
 	// FailureRate is the moving average of failed runs, between 0 and 1.
 	FailureRate float64
+	// Rejected is the share of the requests that the target itself has rejected lately, between 0 and 1.
+	Rejected float64
 	// Up reports whether the target accepts requests.
 	Up bool
 	// Paced reports whether no request can begin at present because of the limit that the target has named. Limit is
@@ -147,6 +149,7 @@
 	holdTime         time.Duration
 	waiters          map[*queuer.Entry]waiter
 	meter            regulator.Meter
+	rejections       regulator.Rejections
 	estimator        estimator.Estimator
 	failureRate      float64
 	failureRateAt    time.Time
--- a/internal/target/executor/target.go
+++ b/internal/target/executor/target.go
@@ -135,6 +135,7 @@
 		Waiting:     e.queue.Waiting(),
 		Limit:       e.usableSlots(),
 		Mean:        e.meter.Mean(now),
+		Rejected:    e.rejections.Share(now),
 		FailureRate: e.decayedFailureRate(now),
 		Up:          e.refusalReason(now, "") == "",
 		Paced:       e.pacer.Available(now) == 0,
