Share the cut rank fairly among client accounts

An account at several times its usual demand displaced the others of its rank, because classes of requests do not include the account.

In each rank of which a class is limited, accounts are admitted by the level at which the class's fraction of the demand is admitted; the weight is the rate, or the mean rate. Of an account with a rate, 1.5 times the rate counts, which is what the rate limit lets through. Accounts of unknown demand are admitted by the class's fraction, so that nothing is admitted beyond the capacity after a start. One account alone gets the class's fraction as before.

--- a/internal/caller/gateway/gateway.go
+++ b/internal/caller/gateway/gateway.go
@@ -224,7 +224,7 @@
 		g.Shedder.CountCall(q.route.Name)
 	} else {
 		class := allocator.Class{Route: q.route.Name, Rank: q.rank}
-		if ok, fraction := g.Shedder.Admit(class); !ok {
+		if ok, fraction := g.Shedder.Admit(class, accountName(q.account)); !ok {
 			return &refusal{http.StatusServiceUnavailable, "overload", time.Duration(float64(overloadRetryAfter) / max(fraction, 0.1))}
 		}
 	}
@@ -234,6 +234,13 @@
 	return nil
 }
 
+func accountName(a *matcher.Account) string {
+	if a == nil {
+		return ""
+	}
+	return a.Name
+}
+
 // serve sends the request to a target and writes the answer.
 func (g *Gateway) serve(q *request) {
 	body, err := transporter.ReadBody(q.r.Body, q.r.ContentLength)
--- a/internal/caller/gateway/limits.go
+++ b/internal/caller/gateway/limits.go
@@ -11,6 +11,7 @@
 	"github.com/plantainwheel/plantainwheel/internal/fleet/tracker"
 	"github.com/plantainwheel/plantainwheel/internal/node/timekeeper"
 	"github.com/plantainwheel/plantainwheel/internal/policy/allocator"
+	"github.com/plantainwheel/plantainwheel/internal/policy/fairsharer"
 	"github.com/plantainwheel/plantainwheel/internal/policy/retrier"
 	"github.com/plantainwheel/plantainwheel/internal/policy/windowlimiter"
 	"github.com/plantainwheel/plantainwheel/internal/route/matcher"
@@ -63,6 +64,13 @@
 	return l.limiter.SetMembers(timekeeper.SinceBoot(), others)
 }
 
+// Demands returns the known demand of each account at all nodes, in requests per second.
+func (l *RateLimits) Demands() map[string]float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.limiter.Demands(timekeeper.SinceBoot())
+}
+
 // AccountUsages returns the account usages that this node reports to the others.
 func (l *RateLimits) AccountUsages() []tracker.AccountUsage {
 	l.mu.Lock()
@@ -94,13 +102,30 @@
 }
 
 // NewShedder returns a shedder that admits every request until UpdateFractions is called.
-func NewShedder() *Shedder { return &Shedder{rotations: map[string]*rotation{}} }
+func NewShedder() *Shedder {
+	return &Shedder{allocator: allocator.Allocator{Random: rand.Float64}, rotations: map[string]*rotation{}}
+}
+
+// Admit reports whether a request of the class is admitted, and the admitted fraction of such requests. account is the
+// client account, or "".
+func (s *Shedder) Admit(class allocator.Class, account string) (ok bool, fraction float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.allocator.AdmitAccount(time.Now(), class, account)
+}
+
+// LimitedRanks returns the ranks of which requests that enter here are refused.
+func (s *Shedder) LimitedRanks() []int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.allocator.LimitedRanks()
+}
 
-// Admit reports whether a request of the class is admitted, and the admitted fraction of the class.
-func (s *Shedder) Admit(class allocator.Class) (ok bool, fraction float64) {
+// SetAccounts sets the client accounts that share what is admitted, by rank.
+func (s *Shedder) SetAccounts(accounts map[int][]fairsharer.Account) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.allocator.Admit(time.Now(), class), s.allocator.AdmittedFraction(class)
+	s.allocator.SetAccounts(accounts)
 }
 
 // UpdateDemand updates the demand of the requests that enter at this node and returns it by service, in slots.
--- a/internal/node/attendant/admission.go
+++ b/internal/node/attendant/admission.go
@@ -5,6 +5,7 @@
 
 	"github.com/plantainwheel/plantainwheel/internal/fleet/tracker"
 	"github.com/plantainwheel/plantainwheel/internal/policy/allocator"
+	"github.com/plantainwheel/plantainwheel/internal/policy/fairsharer"
 	"github.com/plantainwheel/plantainwheel/internal/policy/regulator"
 )
 
@@ -12,6 +13,50 @@
 // reported at the urgent interval.
 const urgentUtilisation = 0.7
 
+// sharesInterval is the interval at which the shares of the client accounts are computed. Their demand is an average over a
+// second, and with 5,000 accounts a computation takes milliseconds.
+const sharesInterval = 200 * time.Millisecond
+
+// maxDemandFactor bounds the demand of an account that counts, as a multiple of its rate. The rate limit refuses more.
+const maxDemandFactor = 1.5
+
+// sharingAccounts returns the accounts with demand that share the given ranks. The weight of an account is its rate.
+func (a *Attendant) sharingAccounts(ranks []int) map[int][]fairsharer.Account {
+	table := a.keeper.Table()
+	if len(ranks) == 0 || table == nil || len(table.Config.Accounts) < 2 {
+		return nil
+	}
+	accounts := table.Config.Accounts
+	sum, rated := 0.0, 0
+	for i := range accounts {
+		if accounts[i].Rate > 0 {
+			sum += accounts[i].Rate
+			rated++
+		}
+	}
+	mean := 1.0
+	if rated > 0 {
+		mean = sum / float64(rated)
+	}
+	demands := a.gateway.RateLimits.Demands()
+	shares := make(map[int][]fairsharer.Account, len(ranks))
+	for i := range accounts {
+		account := fairsharer.Account{Name: accounts[i].Name, Weight: mean, Demand: demands[accounts[i].Name]}
+		if account.Demand == 0 {
+			continue
+		}
+		if rate := accounts[i].Rate; rate > 0 {
+			account.Weight, account.Demand = rate, min(account.Demand, maxDemandFactor*rate)
+		}
+		for _, rank := range ranks {
+			if accounts[i].MayHaveRank(rank) {
+				shares[rank] = append(shares[rank], account)
+			}
+		}
+	}
+	return shares
+}
+
 // admission is what the admission plan uses and reports.
 type admission struct {
 	// rows and recent hold the demand that enters at this node.
@@ -39,6 +84,10 @@
 		capacity[name] = share * regulator.Capacity(s.Slots, s.Correction)
 	}
 	utilisation := a.gateway.Shedder.UpdateFractions(costs, sumDemand(byDataCentre), capacity, unranked)
+	if now.Sub(a.sharesAt) >= sharesInterval {
+		a.sharesAt = now
+		a.gateway.Shedder.SetAccounts(a.sharingAccounts(a.gateway.Shedder.LimitedRanks()))
+	}
 	a.planMu.Lock()
 	defer a.planMu.Unlock()
 	a.admission = admission{rows: rows, recent: recent, urgent: utilisation > urgentUtilisation}
--- a/internal/node/attendant/attendant.go
+++ b/internal/node/attendant/attendant.go
@@ -112,6 +112,8 @@
 	// totalCosts holds the costs of requests at the time costsAt. Only plan uses them.
 	totalCosts allocator.TotalCosts
 	costsAt    time.Time
+	// sharesAt is when the shares of the client accounts were computed. Only plan uses it.
+	sharesAt time.Time
 
 	// planMu guards the results of the last plan. No other lock is acquired while it is held.
 	planMu        sync.Mutex
--- a/internal/policy/allocator/allocator.go
+++ b/internal/policy/allocator/allocator.go
@@ -3,8 +3,10 @@
 package allocator
 
 import (
+	"slices"
 	"time"
 
+	"github.com/plantainwheel/plantainwheel/internal/policy/fairsharer"
 	"github.com/plantainwheel/plantainwheel/internal/policy/prioritizer"
 )
 
@@ -41,6 +43,10 @@
 	prioritizer prioritizer.Prioritizer
 	// costs are those of the last update.
 	costs TotalCosts
+	// Random, if set, returns a number in [0, 1). Client accounts begin with it as their credit.
+	Random func() float64
+	// sharers divides, by rank, what is admitted of the rank among the client accounts.
+	sharers map[int]*fairsharer.Sharer
 }
 
 type class struct {
@@ -52,6 +58,8 @@
 	// fraction is the admitted fraction and service the service that limits the class, if any.
 	fraction float64
 	service  string
+	// level is the level of the client accounts at which fraction is admitted.
+	level float64
 	// credit accumulates fraction with each request; an admitted request consumes 1.
 	credit float64
 	// lastSeen is the time of the latest request of the class.
@@ -76,7 +84,7 @@
 	if c == nil {
 		c = &class{Class: key, fraction: 1}
 		if key.Rank != ChildCallRank {
-			c.fraction, c.service = a.prioritizer.Fraction(key, a.costs[key.Route])
+			a.limit(c)
 		}
 		a.classes[key] = c
 	}
@@ -90,12 +98,88 @@
 	a.class(now, Class{Route: route, Rank: ChildCallRank})
 }
 
-// Admit counts a request as demand and reports whether it is admitted.
+// Admit counts a request without a client account as demand and reports whether it is admitted.
 func (a *Allocator) Admit(now time.Time, key Class) bool {
+	ok, _ := a.AdmitAccount(now, key, "")
+	return ok
+}
+
+// AdmitAccount counts a request of a client account as demand. It reports whether the request is admitted, and the part of
+// the account's requests of the class that is admitted at present.
+func (a *Allocator) AdmitAccount(now time.Time, key Class, account string) (ok bool, fraction float64) {
 	c := a.class(now, key)
 	if c.fraction >= 1 {
-		return true
+		return true, 1
+	}
+	if s := a.sharers[key.Rank]; s != nil && account != "" {
+		if ok, fraction, known := s.Admit(account, c.level); known {
+			return ok, fraction
+		}
+	}
+	return c.admit(), c.fraction
+}
+
+// limit sets the admitted fraction of the class.
+func (a *Allocator) limit(c *class) {
+	c.fraction, c.service = a.prioritizer.Fraction(c.Class, a.costs[c.Route])
+	if s := a.sharers[c.Rank]; s != nil && c.fraction < 1 {
+		c.level = s.Level(c.fraction)
+	}
+}
+
+// LimitedRanks returns the ranks of which a class is limited.
+func (a *Allocator) LimitedRanks() []int {
+	var ranks []int
+	for _, c := range a.classes {
+		if c.fraction < 1 && !slices.Contains(ranks, c.Rank) {
+			ranks = append(ranks, c.Rank)
+		}
+	}
+	return ranks
+}
+
+// SetAccounts sets the client accounts that share what is admitted, by rank. In ranks without any, all accounts are
+// admitted alike.
+func (a *Allocator) SetAccounts(accounts map[int][]fairsharer.Account) {
+	for rank := range a.sharers {
+		if _, ok := accounts[rank]; !ok {
+			delete(a.sharers, rank)
+		}
 	}
+	if a.sharers == nil {
+		a.sharers = map[int]*fairsharer.Sharer{}
+	}
+	for rank, list := range accounts {
+		s := a.sharers[rank]
+		if s == nil {
+			s = &fairsharer.Sharer{Random: a.Random}
+			a.sharers[rank] = s
+		}
+		s.Update(list)
+	}
+	for _, c := range a.classes {
+		if s := a.sharers[c.Rank]; s != nil && c.fraction < 1 {
+			c.level = s.Level(c.fraction)
+		}
+	}
+}
+
+// Levels returns the lowest level of the client accounts by the service that limits a class of their requests.
+func (a *Allocator) Levels() map[string]float64 {
+	levels := map[string]float64{}
+	for _, c := range a.classes {
+		if a.sharers[c.Rank] == nil || c.fraction >= 1 {
+			continue
+		}
+		if old, ok := levels[c.service]; !ok || c.level < old {
+			levels[c.service] = c.level
+		}
+	}
+	return levels
+}
+
+// admit reports whether a request of the class is admitted.
+func (c *class) admit() bool {
 	c.credit = min(c.credit+c.fraction, maxCredit)
 	if c.credit < 1 {
 		return false
@@ -147,7 +231,7 @@
 	a.prioritizer.Update(effective(demand), costs, capacity, unranked)
 	for _, c := range a.classes {
 		if c.Rank != ChildCallRank {
-			c.fraction, c.service = a.prioritizer.Fraction(c.Class, costs[c.Route])
+			a.limit(c)
 		}
 	}
 	return a.prioritizer.Utilisation()
--- a/internal/policy/fairsharer/fairsharer.go
+++ b/internal/policy/fairsharer/fairsharer.go
@@ -22,6 +22,10 @@
 
 // Sharer holds the demand of the accounts that share capacity. It is not safe for concurrent use.
 type Sharer struct {
+	// Random, if set, returns a number in [0, 1), the credit that an account begins with. Otherwise accounts with few
+	// requests at each of many nodes would get less than their part everywhere, or more.
+	Random func() float64
+
 	accounts map[string]*account
 	// order holds the accounts by increasing demand per weight, demand and weight the sums over the first accounts of it.
 	order          []*account
@@ -53,6 +57,9 @@
 		a := s.accounts[listed.Name]
 		if a == nil {
 			a = &account{}
+			if s.Random != nil {
+				a.credit = s.Random()
+			}
 			s.accounts[listed.Name] = a
 		}
 		a.Account, a.update = listed, s.updates
--- a/internal/route/matcher/matcher.go
+++ b/internal/route/matcher/matcher.go
@@ -131,3 +131,12 @@
 	}
 	return priority*prioritySteps + min(r.Priority, prioritySteps-1)
 }
+
+// MayHaveRank reports whether requests of the account, on any route, may have the rank.
+func (a *Account) MayHaveRank(rank int) bool {
+	priority := rank / prioritySteps
+	if a.HasPriority {
+		return a.Priority == priority
+	}
+	return rank%prioritySteps == min(priority, prioritySteps-1)
+}
