Show the admission cut to operators, and describe the admission

Operators could not see from which rank on requests are refused, nor what client accounts get.

Once a second the cut rank, its admitted fraction and the level of the accounts become metrics by service, which are removed with the cut, and a line tells when a cut begins, moves to another rank or ends.

--- a/internal/caller/gateway/limits.go
+++ b/internal/caller/gateway/limits.go
@@ -12,6 +12,7 @@
 	"github.com/plantainwheel/plantainwheel/internal/node/timekeeper"
 	"github.com/plantainwheel/plantainwheel/internal/policy/allocator"
 	"github.com/plantainwheel/plantainwheel/internal/policy/fairsharer"
+	"github.com/plantainwheel/plantainwheel/internal/policy/prioritizer"
 	"github.com/plantainwheel/plantainwheel/internal/policy/retrier"
 	"github.com/plantainwheel/plantainwheel/internal/policy/windowlimiter"
 	"github.com/plantainwheel/plantainwheel/internal/route/matcher"
@@ -114,6 +115,13 @@
 	return s.allocator.AdmitAccount(time.Now(), class, account)
 }
 
+// Cuts returns the cut of each service that limits requests, and the level of the client accounts by service.
+func (s *Shedder) Cuts() (cuts map[string]prioritizer.Cut, levels map[string]float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.allocator.Cuts(), s.allocator.Levels()
+}
+
 // LimitedRanks returns the ranks of which requests that enter here are refused.
 func (s *Shedder) LimitedRanks() []int {
 	s.mu.Lock()
--- a/internal/node/attendant/attendant.go
+++ b/internal/node/attendant/attendant.go
@@ -115,6 +115,8 @@
 	// sharesAt is when the shares of the client accounts were computed. Only plan uses it.
 	sharesAt time.Time
 
+	cutMetrics cutMetrics
+
 	// planMu guards the results of the last plan. No other lock is acquired while it is held.
 	planMu        sync.Mutex
 	demand        map[string]float64
@@ -282,6 +284,7 @@
 	}
 	a.isolator.Tick()
 	a.logLoad()
+	a.publishCuts()
 }
 
 // restoreTarget restores the target's state from the member record of an earlier process of this node.
