--- a/internal/policy/allocator/fleet_test.go
+++ b/internal/policy/allocator/fleet_test.go
@@ -153,6 +153,27 @@
 	assert.Assert(t, mean(admitted, 85, 100) > 0.97*mean(offered, 85, 100), "after: %.0f", mean(admitted, 85, 100))
 }
 
+// TestWave replays demand that rises and falls by one half with a period of 17 s around the capacity, at 90 nodes with reports
+// 300 ms old. In each second, nearly all that fits must be admitted and little more: limits that follow too late admit too
+// much on the rise and too little on the fall.
+func TestWave(t *testing.T) {
+	class := allocator.Class{Route: "sample", Rank: 2}
+	f := newFleet(90, 3)
+	const capacity = 900.0
+	for second := range 34 {
+		fits, admitted := 0.0, 0.0
+		for i := range 10 {
+			rate := capacity * (1 + math.Sin(2*math.Pi*float64(10*second+i)/170)/2)
+			got := f.tick(dispatch(capacity*0.1), func(int) map[allocator.Class]float64 { return map[allocator.Class]float64{class: rate / 90} })
+			fits += min(f.offered, capacity/10)
+			admitted += got[class]
+		}
+		if second > 0 {
+			assert.Check(t, admitted > 0.85*fits && admitted < 1.15*capacity, "second %d: %.0f of %.0f", second, admitted, fits)
+		}
+	}
+}
+
 // TestPartition checks that two halves of a fleet which stop hearing each other keep admitting by the capacity that each of
 // them hears of, and that nobody is refused without need once they are joined again.
 func TestPartition(t *testing.T) {
--- a/internal/policy/windowlimiter/windowlimiter.go
+++ b/internal/policy/windowlimiter/windowlimiter.go
@@ -69,8 +69,6 @@
 	// minDemand is the minimum demand of a node, in requests per second, so that a node without any
 	// requests yet has a share.
 	minDemand = 0.2
-	// idleDemand is the demand of all nodes below which an account counts as idle, in requests per second.
-	idleDemand = 0.02
 )
 
 // Limit is the rate limit of a client account.
@@ -447,25 +445,6 @@
 	a.admitTokens = min(a.admitTokens+admitFactor*admitRate*span, max(minAdmitTokens, admitFactor*admitRate*admitTokenSpan.Seconds()))
 }
 
-// Demands returns the known demand of each account at all nodes that are heard, in requests per second. Accounts without
-// demand are left out.
-func (l *Limiter) Demands(now time.Duration) map[string]float64 {
-	demands := make(map[string]float64, len(l.accounts))
-	for name, a := range l.accounts {
-		a.advance(now, l.Window)
-		demand := a.demand
-		for i := range min(len(a.reports), len(l.others)) {
-			if o, r := &l.others[i], &a.reports[i]; !o.silent && r.at >= o.completeAt {
-				demand += r.Demand
-			}
-		}
-		if demand >= idleDemand {
-			demands[name] = demand
-		}
-	}
-	return demands
-}
-
 // UnreportedUsages returns this node's report on the accounts of which the other nodes need one soon.
 func (l *Limiter) UnreportedUsages(now time.Duration) map[string]Usage {
 	return l.report(now, func(a *account, u Usage) bool { return l.needsReport(now, a, u) })
