Leave a part of the capacity to nodes that have just started

The targets of a node count as capacity with its first report, but its demand is known later. A node counted as known as soon as it had sent any report, so that after a restart of all nodes each one could take the whole capacity.

Nodes that take demand and have not told of any yet are each left an equal part. Ruled out: parts for all members, since only the targets of nodes that are heard count as capacity and records of lost nodes stay.

Tested: go test ./internal/fleet/tracker; in ./internal/node/attendant the tests of the admission and TestOrderAcrossNodes.

--- a/internal/fleet/tracker/demand.go
+++ b/internal/fleet/tracker/demand.go
@@ -163,7 +163,7 @@
 }
 
 // Demand returns the demand that enters at each data centre, ordered by name. This data centre is included. Demand that is
-// older than 3.5 s counts with a share that falls to zero over another 3.5 s.
+// older than 3.5 s counts with a share that falls to zero over another 3.5 s. The caller must not change the rows.
 func (t *Tracker) Demand(now time.Time) []DataCentreDemand {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -255,8 +255,9 @@
 }
 
 // UnrankedDemand returns the demand, in slots by service, of the other nodes that send reports but whose demand by rank is
-// not known, and the number of these nodes.
-func (t *Tracker) UnrankedDemand(now time.Time) (slots map[string]float64, nodes int) {
+// not known, and the number of these nodes. unknown is the number of nodes that send reports but have not told of any demand
+// yet, because they have just started.
+func (t *Tracker) UnrankedDemand(now time.Time) (slots map[string]float64, nodes, unknown int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	slots = map[string]float64{}
@@ -264,12 +265,16 @@
 		if p.Node == t.Self || p.report.Sequence == 0 || t.reportOverdue(now, p) || t.knowsDemand(now, p) {
 			continue
 		}
+		if p.TakesDemand && len(p.demand) == 0 {
+			unknown++
+			continue
+		}
 		nodes++
 		for _, d := range p.demand {
 			slots[t.serviceNames[d.service]] += d.slots
 		}
 	}
-	return slots, nodes
+	return slots, nodes, unknown
 }
 
 // knowsDemand reports whether the demand of the node by rank is known. The caller holds the mutex.
--- a/internal/fleet/tracker/demand_test.go
+++ b/internal/fleet/tracker/demand_test.go
@@ -77,10 +77,13 @@
 	for _, node := range []string{"old", "new"} {
 		assert.Assert(t, tr.ApplyReport(now, &Report{Node: node, Started: 1, Sequence: 1, Demand: map[string]float32{"press": 5}}))
 	}
-	slots, nodes := tr.UnrankedDemand(now)
-	assert.Assert(t, slots["press"] == 10 && nodes == 2, "%v %v", slots, nodes)
+	tr.SetMember(Member{Node: "started", DataCentre: "here", TakesDemand: true})
+	assert.Assert(t, tr.ApplyReport(now, &Report{Node: "started", Started: 1, Sequence: 1}))
+	slots, nodes, unknown := tr.UnrankedDemand(now)
+	assert.Assert(t, slots["press"] == 10 && nodes == 2 && unknown == 1, "%v %v %v", slots, nodes, unknown)
 	assert.Assert(t, tr.ApplyDemand(now, &DemandReport{Node: "new", Started: 1, Sequence: 1}))
-	slots, nodes = tr.UnrankedDemand(now)
-	assert.Assert(t, slots["press"] == 5 && nodes == 1, "%v %v", slots, nodes)
+	assert.Assert(t, tr.ApplyDemand(now, &DemandReport{Node: "started", Started: 1, Sequence: 1}))
+	slots, nodes, unknown = tr.UnrankedDemand(now)
+	assert.Assert(t, slots["press"] == 5 && nodes == 1 && unknown == 0, "%v %v %v", slots, nodes, unknown)
 	assert.Assert(t, !tr.ApplyDemand(now, &DemandReport{Node: "new", Started: 1, Sequence: 2, Recent: []float32{1}}), "lengths differ")
 }
--- a/internal/node/attendant/admission.go
+++ b/internal/node/attendant/admission.go
@@ -70,15 +70,13 @@
 	rows, recent := demandRows(a.gateway.Shedder.Demand())
 	a.tracker.SetOwnDemand(now, rows, recent)
 	byDataCentre := a.tracker.Demand(now)
-	unranked, known := a.tracker.UnrankedDemand(now)
+	unranked, known, unknown := a.tracker.UnrankedDemand(now)
 	for i := range byDataCentre {
 		known += byDataCentre[i].Nodes
 	}
-	share := 1.0
-	if known <= 1 {
-		// The demand of the other nodes is unknown, so this node uses an equal share of the capacity.
-		share = 1 / float64(1+len(a.tracker.Responsive(now, a.tracker.OtherMembers())))
-	}
+	// The targets of nodes that have just started count as capacity, but the demand there is unknown, so equal parts of the
+	// capacity are left to them.
+	share := float64(known) / float64(known+unknown)
 	capacity := make(map[string]float64, len(services))
 	for name, s := range services {
 		capacity[name] = share * regulator.Capacity(s.Slots, s.Correction)
--- a/internal/node/attendant/admission_test.go
+++ b/internal/node/attendant/admission_test.go
@@ -69,6 +69,9 @@
 func TestShareWithoutOthersDemand(t *testing.T) {
 	a := newPlanner(4, &bytes.Buffer{})
 	offer(a, 3)
+	for _, node := range []string{"b", "c", "d"} {
+		assert.Assert(t, a.tracker.ApplyReport(time.Now(), &tracker.Report{Node: node, Started: 1, Sequence: 1}))
+	}
 	services := map[string]tracker.Service{"press": {Slots: 100, Correction: 1}}
 	a.updateAdmission(time.Now(), plannerCosts, services)
 	alone := admittedFraction(a, 3)
