Sum up demand by position of its class

Each plan summed the rows of all nodes of the data centre by route and rank in a map.

The position of each row's class is found on receipt, as for the demand by service; a sum is then an addition for each row.

Measured: 86 us a plan with 30 nodes, two other data centres and 40 classes, 148 us and 204 us before (two runs, BenchmarkUpdateAdmission); 8 us to receive 40 rows of 819 bytes (BenchmarkReceiveDemand).

--- a/internal/fleet/tracker/demand.go
+++ b/internal/fleet/tracker/demand.go
@@ -3,7 +3,7 @@
 //go:generate msgp -file demand.go -o demand_gen.go -io=false -tests=false
 
 //msgp:tuple DemandRow DemandReport DataCentreDemand
-//msgp:ignore demandState nodeDemand dataCentreDemand sequence
+//msgp:ignore demandState demandClass demandSum nodeDemand dataCentreDemand sequence
 //msgp:limit arrays:20000 maps:5000
 
 import (
@@ -66,11 +66,34 @@
 	// byNode holds the rows of the nodes of this data centre, byDataCentre the sums of the other data centres.
 	byNode       map[string]*nodeDemand
 	byDataCentre map[string]*dataCentreDemand
+	// index holds the position of each class in classes. order holds the positions by rank and route; it is shorter than
+	// classes if some are new.
+	index   map[demandClass]int
+	classes []demandClass
+	order   []int
+	// sums is reused for each sum, by position.
+	sums []demandSum
 }
 
+// demandClass is what rows are summed up by.
+type demandClass struct {
+	route string
+	rank  int
+}
+
+type demandSum struct {
+	rate, recent float32
+	known        bool
+}
+
+// maxDemandClasses bounds the classes that reports may name.
+const maxDemandClasses = 10_000
+
 type nodeDemand struct {
 	report     DemandReport
 	receivedAt time.Time
+	// positions holds the position of the class of each row, or -1 if there are too many classes.
+	positions []int
 }
 
 type dataCentreDemand struct {
@@ -123,6 +146,7 @@
 		return false
 	}
 	n.report, n.receivedAt = *r, now
+	t.demand.setPositions(n)
 	return true
 }
 
@@ -198,46 +222,88 @@
 // zero are forgotten. The caller holds the mutex.
 func (t *Tracker) sumDemand(now time.Time) DataCentreDemand {
 	sums := DataCentreDemand{DataCentre: t.DataCentre, From: t.Self}
-	type key struct {
-		route string
-		rank  int
-	}
-	type rates struct{ rate, recent float32 }
-	byKey := map[key]rates{}
+	d := &t.demand
+	d.sums = slices.Grow(d.sums[:0], len(d.classes))[:len(d.classes)]
+	clear(d.sums)
 	var ages time.Duration
-	for node, n := range t.demand.byNode {
+	for node, n := range d.byNode {
 		age := now.Sub(n.receivedAt)
 		share := decay(age)
 		if share <= 0 {
-			delete(t.demand.byNode, node)
+			delete(d.byNode, node)
 			continue
 		}
 		sums.Nodes++
 		ages += age
-		for i, row := range n.report.Rows {
-			recent := row.Rate
-			if len(n.report.Recent) > 0 {
-				recent = n.report.Recent[i]
-			}
-			sum := byKey[key{row.Route, row.Rank}]
-			byKey[key{row.Route, row.Rank}] = rates{sum.rate + row.Rate*share, sum.recent + recent*share}
-		}
+		n.addTo(d.sums, share)
 	}
 	if sums.Nodes > 0 {
 		sums.AgeMs = int((ages / time.Duration(sums.Nodes)).Milliseconds())
 	}
-	for k, r := range byKey {
-		sums.Rows = append(sums.Rows, DemandRow{Route: k.route, Rank: k.rank, Rate: r.rate})
-	}
-	slices.SortFunc(sums.Rows, func(a, b DemandRow) int {
-		return cmp.Or(cmp.Compare(a.Rank, b.Rank), cmp.Compare(a.Route, b.Route))
-	})
-	for _, row := range sums.Rows {
-		sums.Recent = append(sums.Recent, byKey[key{row.Route, row.Rank}].recent)
+	for _, i := range d.ordered() {
+		if sum := &d.sums[i]; sum.known {
+			sums.Rows = append(sums.Rows, DemandRow{Route: d.classes[i].route, Rank: d.classes[i].rank, Rate: sum.rate})
+			sums.Recent = append(sums.Recent, sum.recent)
+		}
 	}
 	return sums
 }
 
+// addTo adds the share of the node's demand to the sums.
+func (n *nodeDemand) addTo(sums []demandSum, share float32) {
+	for i, position := range n.positions {
+		if position < 0 {
+			continue
+		}
+		rate := n.report.Rows[i].Rate
+		recent := rate
+		if len(n.report.Recent) > 0 {
+			recent = n.report.Recent[i]
+		}
+		sum := &sums[position]
+		sum.rate += rate * share
+		sum.recent += recent * share
+		sum.known = true
+	}
+}
+
+// setPositions finds the classes of the node's rows, because they are summed up far more often than received.
+func (d *demandState) setPositions(n *nodeDemand) {
+	n.positions = n.positions[:0]
+	for _, row := range n.report.Rows {
+		class := demandClass{row.Route, row.Rank}
+		i, ok := d.index[class]
+		switch {
+		case ok:
+		case len(d.classes) >= maxDemandClasses:
+			i = -1
+		default:
+			if d.index == nil {
+				d.index = map[demandClass]int{}
+			}
+			i = len(d.classes)
+			d.index[class] = i
+			d.classes = append(d.classes, class)
+		}
+		n.positions = append(n.positions, i)
+	}
+}
+
+// ordered returns the positions of all classes by rank and route.
+func (d *demandState) ordered() []int {
+	if len(d.order) == len(d.classes) {
+		return d.order
+	}
+	for i := len(d.order); i < len(d.classes); i++ {
+		d.order = append(d.order, i)
+	}
+	slices.SortFunc(d.order, func(a, b int) int {
+		x, y := &d.classes[a], &d.classes[b]
+		return cmp.Or(cmp.Compare(x.rank, y.rank), cmp.Compare(x.route, y.route))
+	})
+	return d.order
+}
+
 // SetOwnDemand stores the demand that enters at this node, which is known here before it is reported. The slices must not
 // be changed afterwards.
 func (t *Tracker) SetOwnDemand(now time.Time, rows []DemandRow, recent []float32) {
@@ -252,6 +318,7 @@
 		t.demand.byNode[t.Self] = n
 	}
 	n.report.Rows, n.report.Recent, n.receivedAt = rows, recent, now
+	t.demand.setPositions(n)
 }
 
 // UnrankedDemand returns the demand, in slots by service, of the other nodes that send reports but whose demand by rank is
