--- a/internal/caller/gateway/gateway.go
+++ b/internal/caller/gateway/gateway.go
@@ -235,10 +235,10 @@
 			return &refusal{http.StatusTooManyRequests, "over-rate", retryAfter}
 		}
 	}
-	if !q.childCall {
-		if v := g.admitLoad(q); v != nil {
-			return v
-		}
+	if q.childCall {
+		g.Shedder.CountCall(q.route.Name)
+	} else if v := g.admitLoad(q); v != nil {
+		return v
 	}
 	if q.account != nil {
 		g.RateLimits.Count(q.account.Name)
--- a/internal/caller/gateway/returning.go
+++ b/internal/caller/gateway/returning.go
@@ -94,10 +94,10 @@
 func (g *Gateway) admitLoad(q *request) *refusal {
 	class := allocator.Class{Route: q.route.Name, Rank: q.rank}
 	if g.Returns != nil && g.Returns.due(q) {
-		g.Shedder.AdmitReturning(class)
+		g.Shedder.AdmitReturning(class, q.root.Account)
 		return nil
 	}
-	ok, fraction := g.Shedder.Admit(class)
+	ok, fraction := g.Shedder.Admit(class, q.root.Account)
 	switch {
 	case ok:
 		return nil
--- a/internal/caller/gateway/returning_test.go
+++ b/internal/caller/gateway/returning_test.go
@@ -23,8 +23,8 @@
 	costs := allocator.TotalCosts{`read "x"`: {"x": 0.1}}
 	for range 60 {
 		f.send(http.MethodGet, "/read/1", "key", nil)
-		f.gateway.Shedder.UpdateDemand(costs)
-		f.gateway.Shedder.UpdateFractions(costs, map[string]float64{"x": 0.4})
+		slots := f.gateway.Shedder.UpdateDemand(costs)["x"]
+		f.gateway.Shedder.UpdateFractions(costs, f.gateway.Shedder.Demand(), map[string]float64{"x": 0.4 * slots}, nil)
 		time.Sleep(time.Millisecond)
 	}
 	for i := range 60 {
--- a/internal/node/attendant/attendant.go
+++ b/internal/node/attendant/attendant.go
@@ -120,11 +120,16 @@
 	// totalCosts holds the costs of requests at the time costsAt. Only plan uses them.
 	totalCosts allocator.TotalCosts
 	costsAt    time.Time
+	// sharesAt is when the shares of the client accounts were computed. Only plan uses it.
+	sharesAt time.Time
+
+	cutMetrics cutMetrics
 
 	// planMu guards the results of the last plan. No other lock is acquired while it is held.
 	planMu        sync.Mutex
 	demand        map[string]float64
 	admittedShare float64
+	admission     admission
 	correction    regulator.Correction
 }
 
@@ -174,6 +179,7 @@
 	a.reporter = &reporter.Reporter{
 		Listen: cfg.IP + ":" + strconv.Itoa(cfg.ReportPort), Tracker: a.tracker, Urgent: a.urgent, BuildReport: a.buildReport,
 		BuildUsages: a.gateway.RateLimits.UnreportedUsages, OnUsages: a.gateway.RateLimits.Receive, Crashes: a.isolator,
+		BuildDemand: a.buildDemand, DemandUrgent: a.demandUrgent,
 	}
 	a.servers = a.newServers()
 	debug.SetGCPercent(gcPercent)
@@ -305,6 +311,7 @@
 	a.boundConnections()
 	a.isolator.Tick()
 	a.logLoad()
+	a.publishCuts()
 }
 
 // boundConnections derives the number of connections to the target from its announcement, the configuration and the VM.
--- a/internal/node/attendant/report.go
+++ b/internal/node/attendant/report.go
@@ -24,7 +24,8 @@
 	for name, s := range services {
 		shares[name] = regulator.AdmittedShare(s.Slots, s.Correction, s.Demand+demand[name])
 	}
-	a.gateway.Shedder.UpdateFractions(costs, shares)
+	a.updateAdmission(now, costs, services)
+	rejected := a.executor.Load().Rejected
 	a.planMu.Lock()
 	defer a.planMu.Unlock()
 	a.demand = demand
@@ -34,6 +35,7 @@
 		// Nothing is shed for the sake of this target, so its node need not report at the urgent interval.
 		a.admittedShare = 1
 	}
+	a.correction.Reject(now, rejected)
 	a.correction.Tick(now, services[service].Load)
 }
 
@@ -96,7 +98,8 @@
 // or the node has just started.
 func (a *Attendant) urgent() bool {
 	load := a.executor.Load()
-	if time.Since(a.started) < startupUrgentPeriod || time.Since(load.CrashedAt) < crashUrgentPeriod || load.Mean > urgentLoad || load.Cold {
+	if time.Since(a.started) < startupUrgentPeriod || time.Since(load.CrashedAt) < crashUrgentPeriod || load.Mean > urgentLoad ||
+		load.Cold || load.Rejected > 0 {
 		return true
 	}
 	a.planMu.Lock()
@@ -205,6 +208,7 @@
 		State:          tracker.Ready,
 		WarmUpEndMs:    t.WarmUpEnd.UnixMilli(),
 		TakesBatches:   true,
+		TakesDemand:    true,
 
 		RecognisesCopies: true,
 	}
--- a/internal/target/executor/target.go
+++ b/internal/target/executor/target.go
@@ -136,6 +136,7 @@
 		Waiting:     e.queue.Waiting(),
 		Limit:       e.usableSlots(now),
 		Mean:        e.meter.Mean(now),
+		Rejected:    e.rejections.Share(now),
 		FailureRate: e.decayedFailureRate(now),
 		Up:          e.refusalReason(now, "") == "",
 		Paced:       e.available(now) == 0,
