Select data centres by the plan, and avoid targets whose requests are late

Cause: a target in another data centre cost 130 ms in each choice, whatever the way there takes and whatever the others choose. Many nodes that know the same reports chose the same target, and a target that had become slow looked free.

Ruled out: to run a request only in the data centre that the plan selects: a burst within it would find targets full beside free ones. The selection therefore outweighs 130 ms, and the fallback is the own data centre, then any.

Change: the tracker sums up capacity by data centre, counts late requests and keeps the shortest round trip of calls; an answer between nodes tells how long its node took, where the reason code of a refusal stands, which earlier versions ignore. The gateway selects a data centre by smooth weighted round robin. From 48 nodes on it samples two targets by free capacity. Retries avoid a data centre whose targets fail together.

--- a/internal/caller/gateway/gateway.go
+++ b/internal/caller/gateway/gateway.go
@@ -72,6 +72,7 @@
 	RateLimits   *RateLimits
 	Shedder      *Shedder
 	RetryBudgets *RetryBudgets
+	Flows        Flows
 	// Isolator, if set, tells which requests crash targets.
 	Isolator *isolator.Isolator
 	Log      *log.Logger
@@ -112,8 +113,9 @@
 	// sends counts the targets that the request was sent to.
 	sends int
 	// tried holds the nodes on whose targets the request was placed.
-	tried []string
-	uri   string
+	tried     []string
+	placement placement
+	uri       string
 	// trial is set if only one target at a time may run the request.
 	trial bool
 	// signature is set while a crash of a target is known.
@@ -310,8 +312,9 @@
 	}
 	q.tried = append(q.tried, m.Node)
 	job := g.job(q, &m)
-	g.Tracker.RequestSent(m.Node)
-	defer g.Tracker.RequestEnded(m.Node)
+	g.recordPlace(q, &m)
+	lateAt := g.Tracker.StartRequest(time.Now(), m.Node, q.route.Name)
+	defer g.Tracker.EndRequest(m.Node, lateAt)
 	if q.sends == 0 {
 		g.RetryBudgets.RecordAttempt(q.service)
 	}
@@ -325,6 +328,7 @@
 		q.sends++
 	}
 	g.recordStatement(&m, answer)
+	g.recordAnswer(q, &m, answer)
 	if answer.NotRun && answer.Reason != executor.ReasonDeadlinePassed && answer.Reason != executor.ReasonCancelled {
 		g.Tracker.MarkRefusing(m.Node)
 	}
@@ -339,9 +343,11 @@
 	list := candidateLists.Get().(*[]placer.Candidate)
 	defer candidateLists.Put(list)
 	*list = g.Tracker.Candidates((*list)[:0], time.Now(), q.service, q.route.Name, q.tried)
-	i := placer.Choose(*list)
+	var i int
 	if q.trial {
 		i = g.chooseTrial(q, *list)
+	} else {
+		i = g.choose(q, *list)
 	}
 	if i < 0 {
 		return tracker.Member{}, false
--- a/internal/fleet/tracker/bench_test.go
+++ b/internal/fleet/tracker/bench_test.go
@@ -52,6 +52,25 @@
 	var list []placer.Candidate
 	for b.Loop() {
 		list = t.Candidates(list[:0], time.Now(), "service-0", "a", nil)
-		placer.Choose(list)
+		placer.Choose(list, placer.Preference{})
+	}
+}
+
+// BenchmarkPlaceSampled measures the same with sampled targets, as in fleets of this size.
+func BenchmarkPlaceSampled(b *testing.B) {
+	t := newLargeFleet()
+	var list []placer.Candidate
+	b.ReportAllocs()
+	for b.Loop() {
+		list = t.Candidates(list[:0], time.Now(), "service-0", "a", nil)
+		placer.ChooseSampled(list, placer.Preference{DataCentre: "dc-1"}, [2]float64{0.3, 0.7})
+	}
+}
+
+// BenchmarkCapacities measures what a node of a large fleet sums up for each plan of the flows.
+func BenchmarkCapacities(b *testing.B) {
+	t := newLargeFleet()
+	for b.Loop() {
+		t.Capacities(time.Now())
 	}
 }
--- a/internal/fleet/tracker/tracker.go
+++ b/internal/fleet/tracker/tracker.go
@@ -89,6 +89,8 @@
 	restoredOf map[string]NodeCosts
 	statements map[incarnation]statement
 	demand     demandState
+	// roundTrips holds the measured round trip to each other data centre.
+	roundTrips map[string]*roundTrip
 }
 
 // serviceDemand is the demand of a service, in slots, by its position in Tracker.serviceNames.
@@ -107,7 +109,9 @@
 	usagesSequence uint64
 	// outstanding counts the requests sent to the node and not answered yet. loadOutstanding is the value of
 	// outstanding at loadUpdatedAt.
-	outstanding     int
+	outstanding int
+	// lateAt holds, for each outstanding request, the time from which on it is late.
+	lateAt          []time.Time
 	running         int
 	waiting         int
 	limit           int
@@ -218,20 +222,6 @@
 	return 0
 }
 
-// RequestSent counts a request sent to the node as outstanding, until RequestEnded is called.
-func (t *Tracker) RequestSent(node string) { t.addOutstanding(node, 1) }
-
-// RequestEnded records that a request sent to the node has ended.
-func (t *Tracker) RequestEnded(node string) { t.addOutstanding(node, -1) }
-
-func (t *Tracker) addOutstanding(node string, n int) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if p, ok := t.peers[node]; ok {
-		p.outstanding = max(p.outstanding+n, 0)
-	}
-}
-
 // MarkUnreachable records that the node could not be reached.
 func (t *Tracker) MarkUnreachable(node string) { t.markSuspect(node, unreachableBackoff) }
 
@@ -259,7 +249,7 @@
 	first := rand.IntN(len(peers))
 	for i := range peers {
 		p := peers[(first+i)%len(peers)]
-		if p.State != Ready || slices.Contains(tried, p.Node) || t.statements[p.incarnation()].leaving {
+		if !t.takesRequests(p) || slices.Contains(tried, p.Node) {
 			continue
 		}
 		list = append(list, t.candidate(now, p, route))
@@ -291,6 +281,8 @@
 func (t *Tracker) candidate(now time.Time, p *peer, route string) placer.Candidate {
 	c := placer.Candidate{
 		Node:           p.Node,
+		DataCentre:     p.DataCentre,
+		Late:           p.late(now),
 		SameVM:         p.Node == t.Self,
 		SameDataCentre: p.DataCentre == t.DataCentre,
 		Running:        p.outstanding,
--- a/internal/node/attendant/attendant.go
+++ b/internal/node/attendant/attendant.go
@@ -112,6 +112,7 @@
 	// totalCosts holds the costs of requests at the time costsAt. Only plan uses them.
 	totalCosts allocator.TotalCosts
 	costsAt    time.Time
+	flows      flowState
 
 	// planMu guards the results of the last plan. No other lock is acquired while it is held.
 	planMu        sync.Mutex
--- a/internal/node/attendant/report.go
+++ b/internal/node/attendant/report.go
@@ -25,6 +25,7 @@
 		shares[name] = regulator.AdmittedShare(s.Slots, s.Correction, s.Demand+demand[name])
 	}
 	a.gateway.Shedder.UpdateFractions(costs, shares)
+	a.planFlows(now)
 	a.planMu.Lock()
 	defer a.planMu.Unlock()
 	a.demand = demand
--- a/internal/peer/forwarder/forwarder.go
+++ b/internal/peer/forwarder/forwarder.go
@@ -62,6 +62,8 @@
 	// Process returns the process that the node's latest report came from, or 0 if it is unknown or does not recognise
 	// calls that are sent again.
 	Process(node string) int64
+	// RecordRoundTrip records the time of a call to a node less the time that the node itself took.
+	RecordRoundTrip(node string, d time.Duration)
 }
 
 // Forwarder forwards requests to other nodes. It is safe for concurrent use.
@@ -86,7 +88,11 @@
 	hop := packRequestHop(job)
 	setRequestHop(job, hop, id)
 	ctx, cancel := context.WithDeadline(ctx, job.Deadline.Add(answerGrace))
+	sentAt := time.Now()
 	resp, _, err := f.Pool.Send(ctx, address, &job.Request, maxReuseIdle)
+	if err == nil {
+		f.recordRoundTrip(node, resp, time.Since(sentAt))
+	}
 	switch {
 	case err == nil || ctx.Err() != nil:
 	case errors.Is(err, transporter.ErrNotSent) && job.Request.Body.Repeatable():
@@ -114,6 +120,17 @@
 	return f.readAnswer(node, resp, cancel)
 }
 
+// recordRoundTrip records the round trip of an answered call. Nodes of earlier versions don't tell how long they took.
+func (f *Forwarder) recordRoundTrip(node string, resp *http.Response, took time.Duration) {
+	hop, err := decodeAnswerHop(resp.Header.Get(hopHeader))
+	if err != nil || hop.outcome != outcomeAnswered {
+		return
+	}
+	if us, err := strconv.ParseInt(hop.reason, 10, 64); err == nil && us > 0 {
+		f.LoadTracker.RecordRoundTrip(node, took-time.Duration(us)*time.Microsecond)
+	}
+}
+
 // answerForError returns the answer for a failed send, and records the node as unreachable unless the request
 // merely timed out.
 func (f *Forwarder) answerForError(node string, err error, timedOut bool) *transporter.Answer {
@@ -279,7 +296,9 @@
 	running int
 	waiting int
 	limit   int
-	reason  string
+	// reason is the reason code of an outcome other than outcomeAnswered, which has the time that the node took instead,
+	// in microseconds. Nodes of earlier versions ignore it there.
+	reason string
 }
 
 func encodeAnswerHop(h answerHop) string {
--- a/internal/peer/forwarder/forwarder_test.go
+++ b/internal/peer/forwarder/forwarder_test.go
@@ -20,11 +20,13 @@
 	limit       int
 	unreachable int
 	process     int64
+	roundTrip   time.Duration
 }
 
-func (l *fakeLoadTracker) RecordLoad(_ string, _, _, limit int) { l.limit = limit }
-func (l *fakeLoadTracker) MarkUnreachable(string)               { l.unreachable++ }
-func (l *fakeLoadTracker) Process(string) int64                 { return l.process }
+func (l *fakeLoadTracker) RecordRoundTrip(_ string, d time.Duration) { l.roundTrip = d }
+func (l *fakeLoadTracker) RecordLoad(_ string, _, _, limit int)      { l.limit = limit }
+func (l *fakeLoadTracker) MarkUnreachable(string)                    { l.unreachable++ }
+func (l *fakeLoadTracker) Process(string) int64                      { return l.process }
 
 type fixture struct {
 	target      *responder.Responder
@@ -92,6 +94,16 @@
 	}
 }
 
+// TestRoundTrip guards against a round trip that contains the time that the target takes.
+func TestRoundTrip(t *testing.T) {
+	f := newFixture(t)
+	f.timeout = 5 * time.Second
+	f.target.SetServiceTime(150 * time.Millisecond)
+	a := f.do(context.Background(), "i-1")
+	assert.Equal(t, a.Status, 200, a.Reason)
+	assert.Assert(t, f.loadTracker.roundTrip > 0 && f.loadTracker.roundTrip < 100*time.Millisecond, "%v", f.loadTracker.roundTrip)
+}
+
 // TestOutcomes checks that the outcome of a request and its reason are passed back to the forwarding node.
 func TestOutcomes(t *testing.T) {
 	f := newFixture(t)
--- a/internal/peer/forwarder/server.go
+++ b/internal/peer/forwarder/server.go
@@ -23,6 +23,7 @@
 // ServeHTTP executes a forwarded request. It rejects a request without a valid hopHeader, because such a request
 // cannot come from another node.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	start := time.Now()
 	job, id, err := decodeRequestHop(r.Header)
 	if err != nil {
 		w.WriteHeader(http.StatusForbidden)
@@ -43,7 +44,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	defer answer.Release()
-	s.writeAnswer(w, answer)
+	s.writeAnswer(w, answer, time.Since(start))
 }
 
 // run runs the job, or waits for the answer of the call that it is a copy of. It returns nil if the sender of the copy
@@ -75,7 +76,7 @@
 	}
 }
 
-func (s *Server) writeAnswer(w http.ResponseWriter, a *transporter.Answer) {
+func (s *Server) writeAnswer(w http.ResponseWriter, a *transporter.Answer, took time.Duration) {
 	load := s.Executor.Load()
 	h := answerHop{outcome: outcomeAnswered, running: load.Occupied(), waiting: load.Waiting, limit: load.Limit, reason: a.Reason}
 	switch {
@@ -83,6 +84,8 @@
 		h.outcome = outcomeNotRun
 	case a.Unknown:
 		h.outcome = outcomeUnknown
+	default:
+		h.reason = strconv.FormatInt(took.Microseconds(), 10)
 	}
 	header := w.Header()
 	for k, v := range a.Header {
--- a/internal/policy/placer/placer_test.go
+++ b/internal/policy/placer/placer_test.go
@@ -39,9 +39,59 @@
 		{"suspect target is not chosen", []placer.Candidate{with(near, func(c *placer.Candidate) { c.Suspect = true }), with(far, func(c *placer.Candidate) { c.Running = 40 })}, "far"},
 		{"suspect target where there is no other", []placer.Candidate{with(near, func(c *placer.Candidate) { c.Suspect = true })}, "near"},
 	} {
-		i := placer.Choose(c.list)
+		i := placer.Choose(c.list, placer.Preference{})
 		assert.Assert(t, i >= 0, c.name)
 		assert.Equal(t, c.list[i].Node, c.want, c.name)
 	}
-	assert.Equal(t, placer.Choose(nil), -1)
+	assert.Equal(t, placer.Choose(nil, placer.Preference{}), -1)
+}
+
+// TestSelectedDataCentre guards against a plan that overrules what is known of the targets: cold, suspect, full and failing
+// ones are not chosen because their data centre was selected, and the request falls back to its own data centre.
+func TestSelectedDataCentre(t *testing.T) {
+	const hold = 30 * time.Millisecond
+	own := placer.Candidate{Node: "own", DataCentre: "a", SameDataCentre: true, Limit: 20, HoldTime: hold}
+	selected := placer.Candidate{Node: "selected", DataCentre: "b", Limit: 20, HoldTime: hold}
+	third := placer.Candidate{Node: "third", DataCentre: "c", Limit: 20, HoldTime: hold}
+	with := func(c placer.Candidate, change func(*placer.Candidate)) placer.Candidate {
+		change(&c)
+		return c
+	}
+	for _, c := range []struct {
+		name     string
+		selected placer.Candidate
+		failing  string
+		want     string
+	}{
+		{"selected", selected, "", "selected"},
+		{"selected while half full", with(selected, func(c *placer.Candidate) { c.Running = 14 }), "", "selected"},
+		{"full", with(selected, func(c *placer.Candidate) { c.Running = 25 }), "", "own"},
+		{"cold", with(selected, func(c *placer.Candidate) { c.WarmingUp = true }), "", "own"},
+		{"suspect", with(selected, func(c *placer.Candidate) { c.Suspect = true }), "", "own"},
+		{"slow", with(selected, func(c *placer.Candidate) { c.Late = 1 }), "", "own"},
+		{"failing", with(selected, func(c *placer.Candidate) { c.FailureRate = 0.9 }), "", "own"},
+		{"failing together", selected, "b", "own"},
+	} {
+		list := []placer.Candidate{third, own, c.selected}
+		p := placer.Preference{DataCentre: "b", Failing: c.failing}
+		assert.Equal(t, list[placer.Choose(list, p)].Node, c.want, c.name)
+		for _, r := range []float64{0, 0.5, 0.999} {
+			assert.Equal(t, list[placer.ChooseSampled(list, p, [2]float64{r, r})].Node, c.want, c.name)
+		}
+	}
+	list := []placer.Candidate{third, with(selected, func(c *placer.Candidate) { c.Suspect = true })}
+	assert.Equal(t, placer.Choose(list, placer.Preference{DataCentre: "b"}), 0, "any where the own data centre has no target")
+	list = []placer.Candidate{third, with(selected, func(c *placer.Candidate) { c.Running = 20 })}
+	assert.Equal(t, placer.Choose(list, placer.Preference{DataCentre: "b"}), 0, "any where the selected one is full")
+	assert.Equal(t, placer.ChooseSampled(nil, placer.Preference{}, [2]float64{}), -1)
+}
+
+// TestFailTogether guards against a data centre that is avoided because of a single failing target.
+func TestFailTogether(t *testing.T) {
+	good, bad := placer.Candidate{DataCentre: "a"}, placer.Candidate{DataCentre: "a", Suspect: true}
+	elsewhere := placer.Candidate{DataCentre: "b", Suspect: true}
+	assert.Assert(t, !placer.FailTogether([]placer.Candidate{good, elsewhere, elsewhere}, "a", 1))
+	assert.Assert(t, placer.FailTogether([]placer.Candidate{bad, good}, "a", 1))
+	assert.Assert(t, placer.FailTogether([]placer.Candidate{good}, "a", 2))
+	assert.Assert(t, !placer.FailTogether([]placer.Candidate{good, good, good}, "a", 2))
 }
--- a/internal/route/transporter/transporter.go
+++ b/internal/route/transporter/transporter.go
@@ -66,6 +66,14 @@
 	Beginning []byte
 }
 
+// Size returns the length of the body in bytes, or 0 if it is unknown.
+func (b *Body) Size() int64 {
+	if b.Stream == nil {
+		return int64(len(b.Buffered))
+	}
+	return max(b.Length, 0)
+}
+
 // peekedBytes is the number of bytes that Peek reads.
 const peekedBytes = 4 << 10
 
