Count requests that run longer than expected at the target's node

Cause: the load of a target that has become slow rises only as it fills, and other nodes hear of it with the next report.

Ruled out: a failure rate for slow answers, since it is known only when they arrive, 600 ms later. A factor of 2 on the hold time without a bound: a target with a hold time of 60 ms is then recognised after 120 ms.

Change: internal/policy/latecounter counts the running requests that have run longer than the mean of their route by up to 40 ms. They count twice in the load that other nodes get, and when a quarter is late a report is sent at the next check, at most every 500 ms. If most of the targets that a node waits for are late, it ignores its own late requests.

--- a/internal/fleet/tracker/flow.go
+++ b/internal/fleet/tracker/flow.go
@@ -3,6 +3,9 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/plantainwheel/plantainwheel/internal/policy/latecounter"
+	"github.com/plantainwheel/plantainwheel/internal/policy/placer"
 )
 
 // DataCentreCapacity is what the targets of a service in a data centre run at once, in slots of a target of mean speed.
@@ -18,9 +21,6 @@
 	// minSpeed and maxSpeed bound the speed of a target, which is learned from few requests at first.
 	minSpeed = 0.25
 	maxSpeed = 4.0
-	// lateFactor and minLate are when a request counts as late: after so many hold times, and so long after the hold time.
-	lateFactor = 2
-	minLate    = 20 * time.Millisecond
 	// unknownHoldTime replaces an unknown hold time when a request is sent.
 	unknownHoldTime = 200 * time.Millisecond
 	// roundTripWindow is the time for which a round trip counts. The shortest of the current and the previous window is
@@ -124,7 +124,7 @@
 	if hold <= 0 {
 		hold = unknownHoldTime
 	}
-	lateAt = now.Add(max(lateFactor*hold, hold+minLate))
+	lateAt = now.Add(latecounter.LateAfter(hold))
 	p.outstanding++
 	p.lateAt = append(p.lateAt, lateAt)
 	return lateAt
@@ -157,6 +157,26 @@
 	return n
 }
 
+// ignoreGeneralLateness removes the late requests from the list if most of the targets that this node waits for are late:
+// a service below them is slow then, and learned hold times follow in seconds only.
+func ignoreGeneralLateness(list []placer.Candidate) {
+	late, busy := 0, 0
+	for i := range list {
+		if list[i].InFlight > 0 {
+			busy++
+		}
+		if list[i].Late > 0 {
+			late++
+		}
+	}
+	if late < 2 || 2*late <= busy {
+		return
+	}
+	for i := range list {
+		list[i].Late = 0
+	}
+}
+
 // roundTrip is the shortest round trip of the current and the previous window.
 type roundTrip struct {
 	current, previous time.Duration
--- a/internal/fleet/tracker/flow_test.go
+++ b/internal/fleet/tracker/flow_test.go
@@ -65,6 +65,10 @@
 	c := candidate(t, tr, now.Add(100*time.Millisecond), "far")
 	assert.Equal(t, c.Late, 1)
 	assert.Equal(t, c.Running, 1)
+
+	// If the targets are slow in general, none of them is to be avoided.
+	tr.StartRequest(now, "near", "r")
+	assert.Equal(t, candidate(t, tr, now.Add(time.Second), "far").Late, 0)
 }
 
 // TestRoundTrips guards against a round trip that grows with the load of the nodes, and against those of the own data
--- a/internal/fleet/tracker/tracker.go
+++ b/internal/fleet/tracker/tracker.go
@@ -254,6 +254,7 @@
 		}
 		list = append(list, t.candidate(now, p, route))
 	}
+	ignoreGeneralLateness(list)
 	return list
 }
 
@@ -282,6 +283,7 @@
 	c := placer.Candidate{
 		Node:           p.Node,
 		DataCentre:     p.DataCentre,
+		InFlight:       p.outstanding,
 		Late:           p.late(now),
 		SameVM:         p.Node == t.Self,
 		SameDataCentre: p.DataCentre == t.DataCentre,
--- a/internal/node/attendant/attendant.go
+++ b/internal/node/attendant/attendant.go
@@ -161,7 +161,7 @@
 	a.Metrics.NewGauge("configuration_age_seconds", func() float64 { return a.keeper.Age(timekeeper.SinceBoot()).Seconds() })
 	a.gateway = a.newGateway(peers)
 	a.reporter = &reporter.Reporter{
-		Listen: cfg.IP + ":" + strconv.Itoa(cfg.ReportPort), Tracker: a.tracker, Urgent: a.urgent, BuildReport: a.buildReport,
+		Listen: cfg.IP + ":" + strconv.Itoa(cfg.ReportPort), Tracker: a.tracker, Urgent: a.urgent, Immediate: a.executor.NoticeSlow, BuildReport: a.buildReport,
 		BuildUsages: a.gateway.RateLimits.UnreportedUsages, OnUsages: a.gateway.RateLimits.Receive, Crashes: a.isolator,
 	}
 	a.servers = a.newServers()
--- a/internal/peer/reporter/reporter.go
+++ b/internal/peer/reporter/reporter.go
@@ -70,6 +70,8 @@
 	Tracker *tracker.Tracker
 	// Urgent returns whether the other nodes need a report soon. It is called far more often than BuildReport.
 	Urgent func() bool
+	// Immediate, if set, returns whether a report is due now, however short ago the previous one was sent.
+	Immediate func() bool
 	// BuildReport returns this node's report.
 	BuildReport func() tracker.Report
 	// BuildUsages returns the account usages that the other nodes need soon, if any.
@@ -142,7 +144,7 @@
 			r.flush()
 			r.exchange()
 			r.prepareDemand(now)
-			if now.Sub(last) >= r.period(minPeriod) {
+			if now.Sub(last) >= r.period(minPeriod) || (r.Immediate != nil && r.Immediate()) {
 				last, lastUsage = now, now
 				report := r.BuildReport()
 				minPeriod = time.Duration(r.send(&report)) * time.Second / maxBytesPerSecond
--- a/internal/policy/placer/placer.go
+++ b/internal/policy/placer/placer.go
@@ -17,8 +17,10 @@
 	Limit   int
 	// HoldTime is the time for which a request of this route holds a slot; 0 if unknown.
 	HoldTime time.Duration
-	// Late counts the requests that this node has in flight at the target for longer than expected.
-	Late int
+	// InFlight counts the requests that this node has in flight at the target, Late those of them that have run for longer
+	// than expected.
+	InFlight int
+	Late     int
 	// FailureRate is the share of failed requests among the target's most recent ones.
 	FailureRate float64
 	// WarmingUp is true while the target warms up and is slow.
--- a/internal/target/executor/executor.go
+++ b/internal/target/executor/executor.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/plantainwheel/plantainwheel/internal/policy/estimator"
+	"github.com/plantainwheel/plantainwheel/internal/policy/latecounter"
 	"github.com/plantainwheel/plantainwheel/internal/policy/pacer"
 	"github.com/plantainwheel/plantainwheel/internal/policy/quarantiner"
 	"github.com/plantainwheel/plantainwheel/internal/policy/queuer"
@@ -109,16 +110,19 @@
 	// Paced reports whether no request can begin at present because of the limit that the target has named. Limit is
 	// then also bounded by the requests that run at once at that rate.
 	Paced bool
+	// Late counts the running requests that have run longer than expected.
+	Late int
 	// CrashedAt is when the target was last found to have crashed, or zero.
 	CrashedAt time.Time
 }
 
-// Occupied returns the number of slots that other nodes should take for occupied.
+// Occupied returns the number of slots that other nodes should take for occupied. A late request counts as two, because
+// it holds its slot for longer than another one would.
 func (l *Load) Occupied() int {
 	if l.Paced {
-		return max(l.Running, l.Limit)
+		return max(l.Running+l.Late, l.Limit)
 	}
-	return l.Running
+	return l.Running + l.Late
 }
 
 // waiter is a queued job. admitted receives true when the job gets a slot and false when it is refused.
@@ -151,6 +155,7 @@
 	failureRate      float64
 	failureRateAt    time.Time
 	resendBudget     retrier.TokenBucket
+	late             latecounter.Counter
 	runs             runs
 	crashedAt        time.Time
 }
@@ -175,7 +180,9 @@
 		return transporter.NotRunAnswer(reason)
 	}
 	began := time.Now()
+	lateAt := e.beginLate(began, job.Route)
 	finish := sync.OnceFunc(func() {
+		e.endLate(job.Route, time.Since(began), lateAt)
 		e.finish(job.Route, began)
 		leave()
 	})
--- a/internal/target/executor/target.go
+++ b/internal/target/executor/target.go
@@ -138,6 +138,7 @@
 		FailureRate: e.decayedFailureRate(now),
 		Up:          e.refusalReason(now, "") == "",
 		Paced:       e.pacer.Available(now) == 0,
+		Late:        e.late.Late(now),
 		CrashedAt:   e.crashedAt,
 	}
 }
