--- a/internal/node/attendant/report.go
+++ b/internal/node/attendant/report.go
@@ -25,6 +25,7 @@
 		shares[name] = regulator.AdmittedShare(s.Slots, s.Correction, s.Demand+demand[name])
 	}
 	a.updateAdmission(now, costs, services)
+	a.planFlows(now)
 	rejected := a.executor.Load().Rejected
 	a.planMu.Lock()
 	defer a.planMu.Unlock()
--- a/internal/target/executor/target.go
+++ b/internal/target/executor/target.go
@@ -141,6 +141,7 @@
 		Up:          e.refusalReason(now, "") == "",
 		Paced:       e.available(now) == 0,
 		Cold:        e.warmer.Cold(now),
+		Late:        e.late.Late(now),
 		CrashedAt:   e.crashedAt,
 	}
 }
