Test what mutations of the evacuation code did not break

Cause: of ten mutations, those of "nothing read since the start", of the refusal before the body is read, and of the resend were not noticed by tests of their own (the last one by a timing failure only).

Change: three checks more.

--- a/internal/caller/gateway/evacuation_test.go
+++ b/internal/caller/gateway/evacuation_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -28,10 +29,23 @@
 		assert.Assert(t, seconds >= 1 && seconds <= 2, "%v", seconds)
 		assert.Assert(t, time.Since(began) < 100*time.Millisecond)
 	}
+	// The body of a slow client is not waited for.
+	body, writer := io.Pipe()
+	refused := make(chan int, 1)
+	go func() {
+		refused <- f.send(http.MethodPost, "/order/1", "key", func(r *http.Request) { r.Body = body }).Code
+	}()
+	select {
+	case code := <-refused:
+		assert.Equal(t, code, http.StatusServiceUnavailable)
+	case <-time.After(time.Second):
+		t.Error("no answer before the end of the body")
+	}
+	_ = writer.Close()
 	assert.Equal(t, len(f.sender.jobs), 0)
 	var text strings.Builder
 	f.gateway.Metrics.Set.WritePrometheus(&text)
-	assert.Assert(t, strings.Contains(text.String(), `requests_refused_total{reason="evacuated"} 3`), text.String())
+	assert.Assert(t, strings.Contains(text.String(), `requests_refused_total{reason="evacuated"} 4`), text.String())
 	f.gateway.Tracker.SetMember(tracker.Member{Node: "elsewhere", DataCentre: "b", Service: "x", Target: "i", Slots: 1, State: tracker.Ready})
 	assert.Equal(t, f.send(http.MethodPost, "/order/1", "key", nil).Code, 200)
 	assert.DeepEqual(t, f.sender.nodes, []string{"elsewhere"})
--- a/internal/node/attendant/resume_test.go
+++ b/internal/node/attendant/resume_test.go
@@ -24,7 +24,11 @@
 		Keeper: &keeper.Keeper{}, Tracker: &tracker.Tracker{}, Evacuations: a.evacuations, PollEvacuationsAfter: 2500 * time.Millisecond,
 		PollAfter: time.Hour * 1e4,
 	}
-	assert.Equal(t, a.withholdReason(), executor.ReasonEvacuationsUnknown)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	a.poller.Run(ctx)
+	assert.Equal(t, a.withholdReason(), executor.ReasonEvacuationsUnknown, "nothing read since the start")
+	a.poller = &adviser.Poller{Keeper: a.poller.Keeper, Tracker: a.poller.Tracker, PollEvacuationsAfter: a.poller.PollEvacuationsAfter, PollAfter: a.poller.PollAfter}
 	now := timekeeper.SinceBoot()
 	a.evacuations.Confirm(now, now-2*time.Second)
 	assert.Equal(t, a.withholdReason(), "")
@@ -32,7 +36,7 @@
 	a.poller.Evacuations = a.evacuations
 	a.evacuations.Confirm(now, now-6*time.Second)
 	assert.Equal(t, a.withholdReason(), executor.ReasonEvacuationsUnknown, "resumed after 6 s")
-	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	ctx, cancel = context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
 	a.poller.Run(ctx)
 	assert.Equal(t, a.withholdReason(), "", "nobody to ask")
--- a/internal/target/executor/evacuation_test.go
+++ b/internal/target/executor/evacuation_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/plantainwheel/plantainwheel/internal/standin/responder"
 	"github.com/plantainwheel/plantainwheel/internal/target/executor"
 	"gotest.tools/v3/assert"
 )
@@ -54,3 +55,17 @@
 	l := f.executor.Load()
 	return &l
 }
+
+// TestNotResentAfterEvacuation guards against a request that is sent a second time, after a connection broke, to a target
+// whose data centre was evacuated meanwhile.
+func TestNotResentAfterEvacuation(t *testing.T) {
+	f := newFixture(t, 4, 0)
+	var reason atomic.Value
+	reason.Store("")
+	f.executor.Withhold = func() string { return reason.Load().(string) }
+	assert.Equal(t, outcome(f.do("first", true)), "answered 200")
+	f.target.SetFault(responder.Reset)
+	f.executor.OnSend = func() { reason.Store(executor.ReasonEvacuated) }
+	assert.Equal(t, outcome(f.do("second", true)), "unknown: connection-broke")
+	assert.Equal(t, len(f.target.Requests()), 2)
+}
