Soak: targets that turn cold

Cause: the soak's targets were always warm, and nothing counted what reaches a cold one in a second. Ruled out: single cold targets only. Change: fault cold-target (returns under its ID and announces itself late, or keeps running), health endpoint, finding COLD; arrivals are not counted while the link to the target holds requests back. The kinds grow to 18 (TestPlanRepeats).

--- a/internal/soak/checker/checker.go
+++ b/internal/soak/checker/checker.go
@@ -70,6 +70,8 @@
 	Slack  float64
 	// Contact is the time after which a target's limit must be kept.
 	Contact time.Duration
+	// ColdPerSecond is the number of requests that may reach a cold target in any one second.
+	ColdPerSecond float64
 	// ClockError is the tolerated error of the recorded times, which are all taken on one loaded machine.
 	ClockError time.Duration
 }
@@ -96,6 +98,8 @@
 	drainingSince map[string]time.Time
 	targets       targetRecords
 	crashing      crashingRecords
+	// coldArrivals are keyed by target incarnation.
+	coldArrivals map[string][]time.Time
 }
 
 // RecordRequest records a request. It is called before the request is sent.
@@ -196,6 +200,7 @@
 	}
 	findings = append(findings, c.checkTargets()...)
 	findings = append(findings, c.checkCrashing()...)
+	findings = append(findings, c.checkCold()...)
 	for account, limit := range c.Limits {
 		findings = append(findings, c.checkRate(account, limit)...)
 	}
--- a/internal/soak/checker/checker_test.go
+++ b/internal/soak/checker/checker_test.go
@@ -45,6 +45,8 @@
 		{"key denied that was just granted", func(c *checker.Checker) { granted(c, at(-4)) }, ""},
 		{"key denied that was granted long ago", func(c *checker.Checker) { granted(c, at(-6)) }, "DENIED"},
 		{"key denied that was revoked meanwhile", func(c *checker.Checker) { granted(c, at(-6)); c.RecordRevocation("new", at(1)) }, ""},
+		{"at the bound of a cold target", func(c *checker.Checker) { arriveCold(c, 30, at(4)) }, ""},
+		{"over the bound of a cold target", func(c *checker.Checker) { arriveCold(c, 31, at(4)) }, "COLD"},
 		{"at the target's limit", func(c *checker.Checker) { arrive(c, 17, at(4)) }, ""},
 		{"over the target's limit", func(c *checker.Checker) { arrive(c, 18, at(4)) }, "LIMIT"},
 		{"over the limit just after it was named", func(c *checker.Checker) { arrive(c, 18, at(1)) }, ""},
@@ -102,3 +104,11 @@
 		c.RecordArrival(id, "i", sent)
 	}
 }
+
+// arriveCold records n requests to a cold target in one second, and as many in the next.
+func arriveCold(c *checker.Checker, n int, from time.Time) {
+	c.Bounds.ColdPerSecond = 30.5
+	for i := range 2 * n {
+		c.RecordColdArrival("i", from.Add(time.Duration(i)*time.Second/time.Duration(n)))
+	}
+}
--- a/internal/soak/injector/injector.go
+++ b/internal/soak/injector/injector.go
@@ -36,6 +36,7 @@
 	LimitTarget       Kind = "target-limit"
 	LeaveTarget       Kind = "target-leaves"
 	CrashingRequest   Kind = "crashing-request"
+	ColdTarget        Kind = "cold-target"
 )
 
 // BaseKinds are the kinds of faults that the recorded seeds draw from. A seed gives another plan with other kinds.
@@ -47,7 +48,7 @@
 // AllKinds are the kinds of faults that further recorded seeds draw from, and EveryKind lists all kinds.
 var (
 	AllKinds  = append(slices.Clone(BaseKinds), RestoreStore, LimitTarget, LeaveTarget)
-	EveryKind = append(slices.Clone(AllKinds), CrashingRequest)
+	EveryKind = append(slices.Clone(AllKinds), CrashingRequest, ColdTarget)
 )
 
 // nodeKinds lists the faults that may keep one node from acting on what it has learned.
@@ -86,6 +87,8 @@
 	minCopyAge = time.Second
 	// minLimitTime is added to the duration of a target's limit, which is checked only some seconds after it was named.
 	minLimitTime = 6 * time.Second
+	// minWarmUp is added to the time for which a target is cold, which is longer than the time between announcements.
+	minWarmUp = 2 * time.Second
 	// crashingInterval is the time between two crashing requests, and minCrashingTime is added to the time for which they
 	// are sent, so that some are sent when all nodes know of them.
 	crashingInterval = 100 * time.Millisecond
@@ -194,7 +197,7 @@
 		time.Sleep(s.For)
 		n.StoreRelay.SetFault(relayer.None)
 	case TargetLink:
-		breakLink(n.TargetRelay, s)
+		n.BreakTargetLink(s.Link, s.For)
 	case StoreUnavailable:
 		inj.breakStore(storer.Faults{Unavailable: true}, s.For)
 	case StoreUnresponsive:
@@ -205,6 +208,8 @@
 		inj.restoreStore(s.For)
 	case CrashingRequest:
 		inj.sendCrashing(s)
+	case ColdTarget:
+		inj.chill(s)
 	case LimitTarget:
 		n.LimitTarget(float64(1 + s.For%maxLimit))
 		time.Sleep(s.For + minLimitTime)
@@ -212,6 +217,37 @@
 	}
 }
 
+// chill makes the target cold, in one half of the cases all targets, since few requests reach a single cold one.
+func (inj *Injector) chill(s Step) {
+	if s.For%4 < 2 {
+		inj.chillTarget(inj.Fleet.Node(s.Node), s)
+		return
+	}
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	for i := range inj.Nodes {
+		wg.Go(func() { inj.chillTarget(inj.Fleet.Node(i), s) })
+	}
+}
+
+// chillTarget makes a target cold: in one half of the cases it crashes and returns under its ID, in the other it keeps
+// running.
+func (inj *Injector) chillTarget(n *launcher.Node, s Step) {
+	warmUp := minWarmUp + s.For/2
+	if s.For%2 == 0 {
+		n.ChillTarget(warmUp)
+		time.Sleep(warmUp)
+		return
+	}
+	n.ReplaceMu.Lock()
+	err := n.ReturnCold(s.For/16, warmUp)
+	n.ReplaceMu.Unlock()
+	if err != nil {
+		inj.Report("START", err.Error())
+	}
+	time.Sleep(warmUp)
+}
+
 // sendCrashing sends the same crashing request to all nodes in turn.
 func (inj *Injector) sendCrashing(s Step) {
 	request := fmt.Sprint(launcher.CrashingPrefix, s.At.Milliseconds())
--- a/internal/soak/injector/injector_test.go
+++ b/internal/soak/injector/injector_test.go
@@ -27,7 +27,7 @@
 			}
 		}
 	}
-	assert.Equal(t, len(kinds), 17)
+	assert.Equal(t, len(kinds), 18)
 	assert.Assert(t, overlaps > 100, "%d", overlaps)
 }
 
--- a/internal/soak/injector/soak.go
+++ b/internal/soak/injector/soak.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -75,6 +76,8 @@
 	// LongestPause is the longest time for which this process did not run. The clients, the targets, the store and the
 	// operator are in it, so that findings right after a pause of seconds may be its own.
 	LongestPause time.Duration
+	// ColdRequests is the number of requests that reached cold targets.
+	ColdRequests int
 }
 
 // Run starts the fleet, injects the planned faults under load and checks the guarantees.
@@ -156,7 +159,7 @@
 
 // result checks the run. loadEnd is the time at which the load was stopped.
 func (s *Soak) result(steps []Step, loadEnd time.Time) Result {
-	r := Result{Seed: s.Seed, Steps: steps, Findings: append(s.checker.Check(), s.reported...)}
+	r := Result{Seed: s.Seed, Steps: steps, Findings: append(s.checker.Check(), s.reported...), ColdRequests: s.checker.ColdRequests()}
 	r.Served, r.Requests = s.checker.SuccessRatio(loadEnd.Add(-evaluationTime), loadEnd)
 	if r.Served < minSuccessRatio {
 		r.Findings = append(r.Findings, checker.Finding{Rule: "RECOVER", Text: fmt.Sprintf("%.2f of %d requests succeeded after the faults", r.Served, r.Requests)})
@@ -174,18 +177,23 @@
 // started yet.
 func (s *Soak) writeConfig() {
 	s.version++
-	var accounts []string
+	var resources []string
 	for name, key := range s.keys {
 		limit := accountLimits[name]
-		accounts = append(accounts, fmt.Sprintf(
+		resources = append(resources, fmt.Sprintf(
 			`{"resource_kind":"tenants","metadata":{"name":%q},"spec":{"api_keys":[%q],"rate_per_s":%g,"burst_size":%g}}`,
 			name, key, limit.Rate, limit.Burst))
 	}
 	route := `{"resource_kind":"routes","metadata":{"name":%q},"spec":{"hostname":%q,"path_prefix":"/%s/","route_type":%q,"timeout_ms":%d,"slo_ms":1000,"service":"booths","max_attempts":2}}`
+	if slices.Contains(s.Kinds, ColdTarget) {
+		resources = append(resources, fmt.Sprintf(
+			`{"resource_kind":"services","metadata":{"name":"booths"},"spec":{"warmup_s":5,"cold_per_s":%d,"health_path":%q}}`,
+			launcher.ColdPerSecond, launcher.HealthPath))
+	}
 	text := fmt.Sprintf(`{"version":"%08x","resources":[%s,%s,%s]}`, s.version,
 		fmt.Sprintf(route, "read", host, "read", "idempotent", routeTimeout.Milliseconds()),
 		fmt.Sprintf(route, "order", host, "order", "non_idempotent", routeTimeout.Milliseconds()),
-		strings.Join(accounts, ","))
+		strings.Join(resources, ","))
 	s.fleet.Store.Put(platform.ConfigTopic, platform.ConfigKey, []byte(text))
 }
 
--- a/internal/soak/launcher/launcher.go
+++ b/internal/soak/launcher/launcher.go
@@ -49,7 +49,7 @@
 func Bounds() checker.Bounds {
 	return checker.Bounds{
 		KeyRevocation: revocationTime, Drain: drainTime, Window: rateWindow, Excess: 0.1, Slack: 20,
-		Contact: contactTime, ClockError: 100 * time.Millisecond,
+		Contact: contactTime, ClockError: 100 * time.Millisecond, ColdPerSecond: ColdPerSecond*ColdExcess + ColdSlack,
 	}
 }
 
@@ -80,6 +80,7 @@
 	StoreRelay  *relayer.Relay
 	PeerRelay   *relayer.Relay
 	TargetRelay *relayer.Relay
+	targetLink  linkState
 	storeServer *http.Server
 	// ReplaceMu serialises replacements of the target. It is locked before mu.
 	ReplaceMu sync.Mutex
@@ -236,11 +237,14 @@
 budget_window_s = %g
 budget_extra = %d
 quota_window_s = %g
+cold_excess = %g
+cold_slack = %d
 `, n.name, n.ip, n.dataCentre, relayAddress(n.address(targetPort)), service,
 		n.ports[firstRangePort], n.ports[lastRangePort],
 		n.address(inboundPort), n.address(outboundPort), n.address(readyPort), n.address(announcePort),
 		n.StoreRelay.Listen, drainTime.Milliseconds(), gracePeriod.Seconds(), revocationTime.Milliseconds(), configApplyTime.Milliseconds(),
-		retryBudgetRatio, retryBudgetWindow.Seconds(), retryBudgetExtra, rateWindow.Seconds())
+		retryBudgetRatio, retryBudgetWindow.Seconds(), retryBudgetExtra, rateWindow.Seconds(),
+		ColdExcess, ColdSlack)
 }
 
 // Start starts the node process unless it is already running.
--- a/internal/soak/launcher/target.go
+++ b/internal/soak/launcher/target.go
@@ -50,7 +50,11 @@
 	// leaving makes the target say in its responses that it leaves.
 	leaving atomic.Bool
 
+	// announceDelay is the time from the start to the first announcement.
+	announceDelay time.Duration
+
 	mu       sync.Mutex
+	cold     coldness
 	sequence int
 	// limit is the limit in requests per second that the target names in its responses, or 0.
 	limit float64
@@ -83,6 +87,11 @@
 }
 
 func (t *target) sendHeartbeats(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+		return
+	case <-time.After(t.announceDelay):
+	}
 	for {
 		_ = t.announce()
 		select {
@@ -97,15 +106,20 @@
 func (t *target) announce() error {
 	t.mu.Lock()
 	t.sequence++
+	coldUntil := t.cold.until
 	body, err := json.Marshal(map[string]any{
 		"service": service, "address": t.node.targetAddress, "zone": t.node.dataCentre, "version": "v1",
-		"concurrency": concurrencyLimit, "state": t.state, "warmup_ms": 0, "sequence": t.sequence, "born": t.startedAtMS,
+		"concurrency": concurrencyLimit, "state": t.state, "warmup_ms": t.cold.remaining().Milliseconds(), "sequence": t.sequence, "born": t.startedAtMS,
 	})
 	t.mu.Unlock()
 	if err != nil {
 		return err
 	}
-	return t.sendAnnouncement(http.MethodPut, body)
+	if err := t.sendAnnouncement(http.MethodPut, body); err != nil {
+		return err
+	}
+	t.recordAnnounced(coldUntil)
+	return nil
 }
 
 func (t *target) sendAnnouncement(method string, body []byte) error {
@@ -173,6 +187,10 @@
 // ServeHTTP runs a request. It rejects a request that expects another incarnation or arrives while the target is at
 // its concurrency limit.
 func (t *target) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == HealthPath {
+		t.serveHealth(w)
+		return
+	}
 	id := r.Header.Get(platform.RequestIDHeader)
 	w.Header().Set(platform.RequestIDHeader, id)
 	t.writeState(w.Header())
@@ -184,6 +202,7 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	t.recordArrival()
 	t.checker.RecordArrival(id, t.id, time.Now())
 	if !t.acquire() {
 		w.Header().Set(platform.NotRunHeader, "1")
