--- a/internal/soak/checker/checker.go
+++ b/internal/soak/checker/checker.go
@@ -74,6 +74,8 @@
 	EvacuateSkew time.Duration
 	// Contact is the time after which a target's limit must be kept.
 	Contact time.Duration
+	// ColdPerSecond is the number of requests that may reach a cold target in any one second.
+	ColdPerSecond float64
 	// ClockError is the tolerated error of the recorded times, which are all taken on one loaded machine.
 	ClockError time.Duration
 }
@@ -101,6 +103,8 @@
 	targets       targetRecords
 	crashing      crashingRecords
 	evacuations   evacuationRecords
+	// coldArrivals are keyed by target incarnation.
+	coldArrivals map[string][]time.Time
 }
 
 // RecordRequest records a request. It is called before the request is sent.
@@ -202,6 +206,7 @@
 	findings = append(findings, c.checkTargets()...)
 	findings = append(findings, c.checkCrashing()...)
 	findings = append(findings, c.checkEvacuations()...)
+	findings = append(findings, c.checkCold()...)
 	for account, limit := range c.Limits {
 		findings = append(findings, c.checkRate(account, limit)...)
 	}
