Send urgent reports only after the load has changed by much

Cause: while a target is above 0.7 of its slots or its service sheds load, its node sent its whole report 5 times a second to each node, also if nothing had changed: each node of 90 decodes up to 445 reports a second, and the relays' traffic between data centres is billed.

Ruled out: reports of changed fields only (nodes of the previous version replace the whole report); longer intervals under load (a change would be heard late).

Change: between the reports of each second, an urgent one is sent only if the running or waiting requests changed by a tenth of the limit, the mean load by 0.03, the failure rate by 0.05, the correction by 0.02, the demand by a twentieth, or the state. A node that has just started or whose target has crashed reports as before. Account usages are still sent on their own when they have changed.

--- a/internal/node/attendant/attendant.go
+++ b/internal/node/attendant/attendant.go
@@ -117,6 +117,8 @@
 	demand        map[string]float64
 	admittedShare float64
 	correction    regulator.Correction
+	// reported is the load in the last report.
+	reported loadReport
 }
 
 // NewLogger returns a logger that writes JSON lines with the node's name.
--- a/internal/node/attendant/report.go
+++ b/internal/node/attendant/report.go
@@ -88,16 +88,20 @@
 // smaller capacity is known at once.
 const crashUrgentPeriod = 5 * time.Second
 
-// urgent reports whether reports must be sent at the urgent interval: the target is close to its limit or has just crashed,
-// or the node has just started.
+// urgent reports whether reports must be sent at the urgent interval: the node has just started, its target has just
+// crashed, or the target is close to its limit or its service sheds load, and the load has changed by much since the last
+// report.
 func (a *Attendant) urgent() bool {
 	load := a.executor.Load()
-	if time.Since(a.started) < startupUrgentPeriod || time.Since(load.CrashedAt) < crashUrgentPeriod || load.Mean > urgentLoad {
+	if time.Since(a.started) < startupUrgentPeriod || time.Since(load.CrashedAt) < crashUrgentPeriod {
 		return true
 	}
 	a.planMu.Lock()
 	defer a.planMu.Unlock()
-	return a.admittedShare < 1
+	if load.Mean <= urgentLoad && a.admittedShare >= 1 {
+		return false
+	}
+	return a.reported.changed(newLoadReport(&load, a.correction.Value(), a.demand))
 }
 
 // buildReport returns this node's report for the other nodes.
@@ -118,6 +122,7 @@
 	a.planMu.Lock()
 	defer a.planMu.Unlock()
 	r.Correction = float32(a.correction.Value())
+	a.reported = newLoadReport(&load, a.correction.Value(), a.demand)
 	r.Demand = map[string]float32{}
 	for service, slots := range a.demand {
 		r.Demand[service] = float32(slots)
