--- a/internal/node/attendant/attendant.go
+++ b/internal/node/attendant/attendant.go
@@ -4,7 +4,6 @@
 import (
 	"context"
 	"io"
-	"runtime"
 	"runtime/debug"
 	"strconv"
 	"sync"
@@ -96,6 +95,7 @@
 	poller     *adviser.Poller
 	pools      []*transporter.Pool
 	targets    *transporter.Pool
+	processors processors
 	servers    []*server
 	ready      atomic.Bool
 	started    time.Time
@@ -132,6 +132,8 @@
 	admittedShare float64
 	admission     admission
 	correction    regulator.Correction
+	// reported is the load in the last report.
+	reported loadReport
 }
 
 // NewLogger returns a logger that writes JSON lines with the node's name.
@@ -180,13 +182,12 @@
 	a.reporter = &reporter.Reporter{
 		Listen: cfg.IP + ":" + strconv.Itoa(cfg.ReportPort), Tracker: a.tracker, Urgent: a.urgent, Immediate: a.executor.NoticeSlow, BuildReport: a.buildReport,
 		BuildUsages: a.gateway.RateLimits.UnreportedUsages, OnUsages: a.gateway.RateLimits.Receive, Crashes: a.isolator,
-		BuildDemand: a.buildDemand, DemandUrgent: a.demandUrgent,
+		BuildDemand: a.buildDemand, DemandUrgent: a.demandUrgent, Metrics: a.Metrics,
 	}
 	a.servers = a.newServers()
 	debug.SetGCPercent(gcPercent)
 	if cfg.Cores > 0 {
-		// The runtime counts the processors of the host, and threads in excess of the VM's cores wait for each other.
-		runtime.GOMAXPROCS(cfg.Cores)
+		a.processors.init(cfg.Cores)
 	}
 	if cfg.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(memoryLimitShare * float64(cfg.MemoryMB) * (1 << 20)))
@@ -270,6 +271,7 @@
 		case now := <-ticker.C:
 			a.executor.Tick()
 			a.logCold()
+			a.processors.tick(now)
 			if now.Sub(lastPlan) >= planInterval {
 				lastPlan = now
 				a.plan(now)
