--- a/internal/caller/gateway/limits.go
+++ b/internal/caller/gateway/limits.go
@@ -11,6 +11,8 @@
 	"github.com/plantainwheel/plantainwheel/internal/fleet/tracker"
 	"github.com/plantainwheel/plantainwheel/internal/node/timekeeper"
 	"github.com/plantainwheel/plantainwheel/internal/policy/allocator"
+	"github.com/plantainwheel/plantainwheel/internal/policy/fairsharer"
+	"github.com/plantainwheel/plantainwheel/internal/policy/prioritizer"
 	"github.com/plantainwheel/plantainwheel/internal/policy/retrier"
 	"github.com/plantainwheel/plantainwheel/internal/policy/windowlimiter"
 	"github.com/plantainwheel/plantainwheel/internal/route/matcher"
@@ -63,6 +65,13 @@
 	return l.limiter.SetMembers(timekeeper.SinceBoot(), others)
 }
 
+// Demands returns the known demand of each account at all nodes, in requests per second.
+func (l *RateLimits) Demands() map[string]float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.limiter.Demands(timekeeper.SinceBoot())
+}
+
 // AccountUsages returns the account usages that this node reports to the others.
 func (l *RateLimits) AccountUsages() []tracker.AccountUsage {
 	l.mu.Lock()
@@ -94,13 +103,37 @@
 }
 
 // NewShedder returns a shedder that admits every request until UpdateFractions is called.
-func NewShedder() *Shedder { return &Shedder{rotations: map[string]*rotation{}} }
+func NewShedder() *Shedder {
+	return &Shedder{allocator: allocator.Allocator{Random: rand.Float64}, rotations: map[string]*rotation{}}
+}
+
+// Admit reports whether a request of the class is admitted, and the admitted fraction of such requests. account is the
+// client account, or "".
+func (s *Shedder) Admit(class allocator.Class, account string) (ok bool, fraction float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.allocator.AdmitAccount(time.Now(), class, account)
+}
+
+// Cuts returns the cut of each service that limits requests, and the level of the client accounts by service.
+func (s *Shedder) Cuts() (cuts map[string]prioritizer.Cut, levels map[string]float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.allocator.Cuts(), s.allocator.Levels()
+}
 
-// Admit reports whether a request of the class is admitted, and the admitted fraction of the class.
-func (s *Shedder) Admit(class allocator.Class) (ok bool, fraction float64) {
+// LimitedRanks returns the ranks of which requests that enter here are refused.
+func (s *Shedder) LimitedRanks() []int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.allocator.Admit(time.Now(), class), s.allocator.AdmittedFraction(class)
+	return s.allocator.LimitedRanks()
+}
+
+// SetAccounts sets the client accounts that share what is admitted, by rank.
+func (s *Shedder) SetAccounts(accounts map[int][]fairsharer.Account) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.allocator.SetAccounts(accounts)
 }
 
 // UpdateDemand updates the demand of the requests that enter at this node and returns it by service, in slots.
@@ -110,12 +143,25 @@
 	return s.allocator.UpdateDemand(time.Now(), costs)
 }
 
-// UpdateFractions computes the admitted fraction of each class. shares holds, by service, the share of its demand that
-// the service can serve.
-func (s *Shedder) UpdateFractions(costs allocator.TotalCosts, shares map[string]float64) {
+// UpdateFractions computes the admitted fraction of each class as allocator.Allocator does.
+func (s *Shedder) UpdateFractions(costs allocator.TotalCosts, demand []allocator.Demand, capacity, unranked map[string]float64) (utilisation float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.allocator.UpdateFractions(costs, demand, capacity, unranked)
+}
+
+// CountCall counts a child call of the route as demand.
+func (s *Shedder) CountCall(route string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.allocator.CountCall(time.Now(), route)
+}
+
+// Demand returns the demand of each class at this node, child calls included.
+func (s *Shedder) Demand() []allocator.Demand {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.allocator.UpdateFractions(costs, shares)
+	return s.allocator.Demand()
 }
 
 // rotation splits the requests of a route among its parts by smooth weighted round robin.
--- a/internal/node/attendant/attendant.go
+++ b/internal/node/attendant/attendant.go
@@ -113,11 +113,16 @@
 	totalCosts allocator.TotalCosts
 	costsAt    time.Time
 	flows      flowState
+	// sharesAt is when the shares of the client accounts were computed. Only plan uses it.
+	sharesAt time.Time
+
+	cutMetrics cutMetrics
 
 	// planMu guards the results of the last plan. No other lock is acquired while it is held.
 	planMu        sync.Mutex
 	demand        map[string]float64
 	admittedShare float64
+	admission     admission
 	correction    regulator.Correction
 }
 
@@ -163,6 +168,7 @@
 	a.reporter = &reporter.Reporter{
 		Listen: cfg.IP + ":" + strconv.Itoa(cfg.ReportPort), Tracker: a.tracker, Urgent: a.urgent, Immediate: a.executor.NoticeSlow, BuildReport: a.buildReport,
 		BuildUsages: a.gateway.RateLimits.UnreportedUsages, OnUsages: a.gateway.RateLimits.Receive, Crashes: a.isolator,
+		BuildDemand: a.buildDemand, DemandUrgent: a.demandUrgent,
 	}
 	a.servers = a.newServers()
 	debug.SetGCPercent(gcPercent)
@@ -279,6 +285,7 @@
 	}
 	a.isolator.Tick()
 	a.logLoad()
+	a.publishCuts()
 }
 
 // restoreTarget restores the target's state from the member record of an earlier process of this node.
--- a/internal/node/attendant/report.go
+++ b/internal/node/attendant/report.go
@@ -24,13 +24,15 @@
 	for name, s := range services {
 		shares[name] = regulator.AdmittedShare(s.Slots, s.Correction, s.Demand+demand[name])
 	}
-	a.gateway.Shedder.UpdateFractions(costs, shares)
+	a.updateAdmission(now, costs, services)
 	a.planFlows(now)
+	rejected := a.executor.Load().Rejected
 	a.planMu.Lock()
 	defer a.planMu.Unlock()
 	a.demand = demand
 	service := a.executor.Target().Service
 	a.admittedShare = min(1, shares[service])
+	a.correction.Reject(now, rejected)
 	a.correction.Tick(now, services[service].Load)
 }
 
@@ -93,7 +95,7 @@
 // or the node has just started.
 func (a *Attendant) urgent() bool {
 	load := a.executor.Load()
-	if time.Since(a.started) < startupUrgentPeriod || time.Since(load.CrashedAt) < crashUrgentPeriod || load.Mean > urgentLoad {
+	if time.Since(a.started) < startupUrgentPeriod || time.Since(load.CrashedAt) < crashUrgentPeriod || load.Mean > urgentLoad || load.Rejected > 0 {
 		return true
 	}
 	a.planMu.Lock()
@@ -202,6 +204,7 @@
 		State:          tracker.Ready,
 		WarmUpEndMs:    t.WarmUpEnd.UnixMilli(),
 		TakesBatches:   true,
+		TakesDemand:    true,
 
 		RecognisesCopies: true,
 	}
--- a/internal/policy/windowlimiter/windowlimiter.go
+++ b/internal/policy/windowlimiter/windowlimiter.go
@@ -293,11 +293,14 @@
 // it. Requests for which Count is not called, because they are refused for another reason, are limited as well:
 // at most admitFactor times the account's limit is passed on to load shedding.
 func (l *Limiter) Admit(now time.Duration, name string, limit Limit) (bool, time.Duration) {
-	if limit.Rate <= 0 {
+	if limit.Rate <= 0 && l.Window <= 0 {
 		return true, 0
 	}
 	a := l.current(now, name)
 	a.offered++
+	if limit.Rate <= 0 {
+		return true, 0
+	}
 	windowLimit := limit.Rate*l.Window.Seconds() + limit.Burst
 	u := l.fleetUsage(now, a, windowLimit)
 	heardShare := l.heardShare()
