Count requests as late in relation to their hold time

Change: a request is late after half of its hold time again at the earliest, and a target counts as slow from two late requests on that are at least half of those this node waits for.

--- a/internal/fleet/tracker/flow.go
+++ b/internal/fleet/tracker/flow.go
@@ -21,6 +21,8 @@
 	// minSpeed and maxSpeed bound the speed of a target, which is learned from few requests at first.
 	minSpeed = 0.25
 	maxSpeed = 4.0
+	// minLate is the number of late requests from which on a target counts as slow.
+	minLate = 2
 	// unknownHoldTime replaces an unknown hold time when a request is sent.
 	unknownHoldTime = 200 * time.Millisecond
 	// roundTripWindow is the time for which a round trip counts. The shortest of the current and the previous window is
@@ -146,7 +148,8 @@
 	}
 }
 
-// late returns the number of requests in flight that have run longer than expected.
+// late returns the number of requests in flight that have run longer than expected, or 0 if they are fewer than minLate or
+// less than half of them: a few requests take many times as long as others at any target.
 func (p *peer) late(now time.Time) int {
 	n := 0
 	for _, at := range p.lateAt {
@@ -154,6 +157,9 @@
 			n++
 		}
 	}
+	if n < minLate || 2*n < len(p.lateAt) {
+		return 0
+	}
 	return n
 }
 
--- a/internal/fleet/tracker/flow_test.go
+++ b/internal/fleet/tracker/flow_test.go
@@ -58,13 +58,19 @@
 	tr.ApplyReport(now, &tracker.Report{Node: "far", Started: 1, Sequence: 1, Target: "i-far", Up: true, Limit: 10, RouteCosts: []tracker.RouteCosts{{Route: "r", HoldMs: 40}}})
 	first := tr.StartRequest(now, "far", "r")
 	tr.StartRequest(now.Add(time.Millisecond), "far", "r")
+	tr.StartRequest(now.Add(2*time.Millisecond), "far", "r")
 	assert.Equal(t, candidate(t, tr, now.Add(70*time.Millisecond), "far").Late, 0)
-	assert.Equal(t, candidate(t, tr, now.Add(100*time.Millisecond), "far").Late, 2)
+	assert.Equal(t, candidate(t, tr, now.Add(100*time.Millisecond), "far").Late, 3)
 	tr.EndRequest("far", first)
 	tr.EndRequest("far", first)
 	c := candidate(t, tr, now.Add(100*time.Millisecond), "far")
-	assert.Equal(t, c.Late, 1)
-	assert.Equal(t, c.Running, 1)
+	assert.Equal(t, c.Late, 2)
+	assert.Equal(t, c.Running, 2)
+	// Two late requests among many show nothing: a few take long at any target.
+	for range 3 {
+		tr.StartRequest(now.Add(90*time.Millisecond), "far", "r")
+	}
+	assert.Equal(t, candidate(t, tr, now.Add(100*time.Millisecond), "far").Late, 0)
 
 	// If the targets are slow in general, none of them is to be avoided.
 	tr.StartRequest(now, "near", "r")
--- a/internal/policy/latecounter/latecounter.go
+++ b/internal/policy/latecounter/latecounter.go
@@ -8,10 +8,12 @@
 	// holdTimeWeight is the weight of the latest request in the moving average of a route's hold time. With 80 slots, the
 	// average follows a lasting change within a few hold times.
 	holdTimeWeight = 0.1
-	// minExcess and maxExcess bound the time after the hold time of its route from which on a request is late. Between them
-	// it is the hold time itself. At 40 ms, a target with a hold time of 60 ms is recognised within 100 ms.
-	minExcess = 20 * time.Millisecond
-	maxExcess = 40 * time.Millisecond
+	// A request is late once it has exceeded the hold time of its route by that time again, between minExcess and maxExcess,
+	// or by excessShare of it if that is more. At 40 ms, a target with a hold time of 60 ms is recognised within 100 ms. With
+	// 40 ms for all routes, a third of the requests with a hold time of 500 ms counted as late at a sound target.
+	minExcess   = 20 * time.Millisecond
+	maxExcess   = 40 * time.Millisecond
+	excessShare = 0.5
 	// minLate and minShare are the number and the share of late requests from which the target counts as slow.
 	minLate  = 3
 	minShare = 0.25
@@ -21,7 +23,7 @@
 
 // LateAfter returns the time from which on a request is late whose route has the given hold time.
 func LateAfter(hold time.Duration) time.Duration {
-	return hold + min(max(hold, minExcess), maxExcess)
+	return hold + max(min(max(hold, minExcess), maxExcess), time.Duration(excessShare*float64(hold)))
 }
 
 // Counter counts late requests. The zero value is ready to use. It is not safe for concurrent use.
