Apply received account usages without allocations

Cause: each report of another node made a map of its usages, hundreds of times a second in a large fleet.

Ruled out: another interface of the limiter (its replays use the maps).

Change: the map is reused under the lock that is held anyway, and replaced after a report on more than 500 accounts.

--- a/internal/caller/gateway/limits.go
+++ b/internal/caller/gateway/limits.go
@@ -21,8 +21,17 @@
 type RateLimits struct {
 	mu      sync.Mutex
 	limiter windowlimiter.Limiter
+	// received holds the usages of the report that is being applied. It is reused, since a node of a large fleet receives
+	// hundreds of reports a second.
+	received map[string]windowlimiter.Usage
+	// receivedMost is the largest number of usages that the map has held.
+	receivedMost int
 }
 
+// maxReusedUsages is the number of usages above which the map of a report is not used again, because clearing a large map costs
+// as much for each small report after it.
+const maxReusedUsages = 500
+
 // NewRateLimits returns the rate limits of a node that starts now.
 func NewRateLimits(window time.Duration) *RateLimits {
 	return &RateLimits{limiter: windowlimiter.Limiter{Window: window, Started: timekeeper.SinceBoot(), Random: rand.Float64}}
@@ -45,15 +54,19 @@
 // Receive records the account usages that another node reported. complete tells whether they are those of all accounts.
 func (l *RateLimits) Receive(r *tracker.UsageReport, complete bool) {
 	from := windowlimiter.Process{Node: r.Node, Started: r.Started}
-	usages := make(map[string]windowlimiter.Usage, len(r.AccountUsages))
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.received == nil || l.receivedMost > maxReusedUsages {
+		l.received, l.receivedMost = map[string]windowlimiter.Usage{}, 0
+	}
+	clear(l.received)
+	l.receivedMost = max(l.receivedMost, len(r.AccountUsages))
 	for _, u := range r.AccountUsages {
 		if u.Valid() {
-			usages[u.Account] = windowlimiter.Usage{Admitted: float64(u.Admitted), Demand: float64(u.Demand)}
+			l.received[u.Account] = windowlimiter.Usage{Admitted: float64(u.Admitted), Demand: float64(u.Demand)}
 		}
 	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.limiter.Receive(timekeeper.SinceBoot(), from, usages, complete)
+	l.limiter.Receive(timekeeper.SinceBoot(), from, l.received, complete)
 }
 
 // SetMembers sets the names of the other nodes that share the limits, and returns how many of them are silent.
