Set the bounds of urgent reports above the variation by chance

Ruled out: smoothed counts (they hide a rise for the time over which they are averaged).

Change: 0.15 of the slots and a tenth of the demand.

--- a/internal/node/attendant/change.go
+++ b/internal/node/attendant/change.go
@@ -8,9 +8,9 @@
 
 const (
 	// changedSlots is the change of the occupied and waiting requests, as a part of the limit, from which another report is
-	// sent soon, and minChangedSlots its minimum. The requests of a target of 200 slots at the same load vary by 14 (the
-	// root of their number), and placement adds what this node has sent since the report.
-	changedSlots    = 0.1
+	// sent soon, and minChangedSlots its minimum. Two counts of a target of 200 slots at the same load differ by 20 (the root
+	// of twice their number), and placement adds what this node has sent since the report.
+	changedSlots    = 0.15
 	minChangedSlots = 2
 	// changedLoad, changedFailures and changedCorrection are the changes of the mean load per slot, of the failure rate and
 	// of the correction factor from which another report is sent soon.
@@ -19,7 +19,7 @@
 	changedCorrection = 0.02
 	// changedDemand is the change of the demand over all services, as a part of it, and minChangedDemand its minimum in
 	// slots. The errors of many nodes cancel out in the sum.
-	changedDemand    = 0.05
+	changedDemand    = 0.1
 	minChangedDemand = 0.5
 )
 
