Lower the correction only for rejections that depend on the load

Cause: targets that reject more than half of their requests at any load (a partial failure, not a lack of room) had the correction lowered to its minimum.

Change: rejections count only if few requests are accepted at loads at which another one was rejected.

TestRejectionsAtAnyLoad fails without the change.

--- a/internal/policy/regulator/regulator_test.go
+++ b/internal/policy/regulator/regulator_test.go
@@ -112,7 +112,7 @@
 	for i := range 40 {
 		capacity := regulator.Capacity(slots, correction.Value())
 		for k := range int(capacity) {
-			rejections.Observe(now.Add(time.Duration(k)*time.Millisecond), i >= 10 && k >= slots/2)
+			rejections.Observe(now.Add(time.Duration(k)*time.Millisecond), i >= 10 && k >= slots/2, k+1)
 		}
 		now = now.Add(regulator.Period)
 		correction.Reject(now, rejections.Share(now))
@@ -125,3 +125,24 @@
 		}
 	}
 }
+
+// TestRejectionsAtAnyLoad guards against a target that rejects a part of its requests whatever its load, for which less and
+// less is admitted while its slots are idle.
+func TestRejectionsAtAnyLoad(t *testing.T) {
+	var rejections regulator.Rejections
+	random := rand.New(rand.NewPCG(3, 3))
+	now := time.Unix(1_800_000_000, 0)
+	counted := 0
+	for i := range 100 {
+		// The load falls from full to nearly nothing.
+		running := max(20-i, 1)
+		for k := range 3 * running {
+			rejections.Observe(now.Add(time.Duration(k)*time.Millisecond), random.Float64() < 0.55, 1+random.IntN(running))
+		}
+		now = now.Add(regulator.Period)
+		if rejections.Share(now) > 0 {
+			counted++
+		}
+	}
+	assert.Assert(t, counted <= 5, "%d of 100 periods", counted)
+}
--- a/internal/target/executor/answer.go
+++ b/internal/target/executor/answer.go
@@ -48,8 +48,8 @@
 
 // recordOutcome updates the failure rate. It skips outcomes that say nothing about the target's health: refusals
 // by the node itself for reasons other than ReasonUnreachable, and requests without an answer by the deadline or
-// the caller's cancellation.
-func (e *Executor) recordOutcome(a *transporter.Answer) {
+// the caller's cancellation. running is the number of requests that ran when the request began.
+func (e *Executor) recordOutcome(a *transporter.Answer, running int) {
 	if a.NotRun && a.Reason != ReasonTargetShed && a.Reason != ReasonUnreachable {
 		return
 	}
@@ -63,7 +63,7 @@
 	now := time.Now()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.rejections.Observe(now, a.NotRun && a.Reason == ReasonTargetShed)
+	e.rejections.Observe(now, a.NotRun && a.Reason == ReasonTargetShed, running)
 	rate := e.decayedFailureRate(now)
 	e.failureRate = rate + failureWeight*(failure-rate)
 	e.failureRateAt = now
--- a/internal/target/executor/executor.go
+++ b/internal/target/executor/executor.go
@@ -207,14 +207,14 @@
 		return transporter.NotRunAnswer(reason)
 	}
 	began := time.Now()
-	lateAt := e.beginLate(began, job.Route)
+	lateAt, running := e.beginLate(began, job.Route)
 	finish := sync.OnceFunc(func() {
 		e.endLate(job.Route, time.Since(began), lateAt)
 		e.finish(job, began)
 		leave()
 	})
 	answer := e.run(ctx, job)
-	e.recordOutcome(answer)
+	e.recordOutcome(answer, running)
 	if answer.Body.Stream == nil {
 		finish()
 		return answer
--- a/internal/target/executor/late.go
+++ b/internal/target/executor/late.go
@@ -2,11 +2,12 @@
 
 import "time"
 
-// beginLate records that a request of the route begins to run, and returns the time from which on it is late.
-func (e *Executor) beginLate(now time.Time, route string) time.Time {
+// beginLate records that a request of the route begins to run. It returns the time from which on it is late, and the number
+// of requests that run now.
+func (e *Executor) beginLate(now time.Time, route string) (lateAt time.Time, running int) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.late.Begin(now, route)
+	return e.late.Begin(now, route), e.queue.Running()
 }
 
 // endLate records that a request of the route has ended.
