Let the server's background read wait without a system call

Cause: net/http reads in the background while a handler runs, to notice clients that leave. The read tries at once and finds nothing, so each request at the gateway and at the server for other nodes costs one read too many. Each accepted connection also costs five setsockopt calls.

Ruled out: no background read (callers that leave would not be noticed); waiting first without knowing what is left (a client that left before its request was read, as after a suspension of the node, would go unnoticed); waiting first in the other reads (the poller forgets what arrived between two reads, so a request could hang).

Change: the kernel tells with the data (TCP_INQ) whether more has arrived or the client has closed its side; only if not, the read waits first. The options of connections are set on the listening socket, which must not be a multipath one, since connections accepted by it inherit nothing.

--- a/internal/node/attendant/server.go
+++ b/internal/node/attendant/server.go
@@ -3,24 +3,21 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	stdlog "log"
-	"net"
 	"net/http"
 	"strconv"
 	"strings"
-	"syscall"
 	"time"
 
 	"github.com/plantainwheel/plantainwheel/internal/node/timekeeper"
+	"github.com/plantainwheel/plantainwheel/internal/peer/acceptor"
 	"github.com/plantainwheel/plantainwheel/internal/peer/adviser"
 	"github.com/plantainwheel/plantainwheel/internal/peer/distributor"
 	"github.com/plantainwheel/plantainwheel/internal/peer/forwarder"
 	"github.com/plantainwheel/plantainwheel/internal/platform/watcher"
 	"github.com/plantainwheel/plantainwheel/platform"
-	"golang.org/x/sys/unix"
 )
 
 const (
@@ -72,8 +69,7 @@
 }
 
 func (s *server) open() error {
-	lc := net.ListenConfig{Control: setSendBuffer, KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: 2}}
-	l, err := lc.Listen(context.Background(), "tcp4", s.address)
+	l, err := acceptor.Listen(s.address, acceptor.Options{SendBytes: sendBytes, KeepAlive: keepAliveInterval})
 	if err != nil {
 		return fmt.Errorf("listen for %s: %w", s.name, err)
 	}
@@ -81,15 +77,6 @@
 	return nil
 }
 
-// setSendBuffer bounds the kernel's send buffer of each accepted connection, which inherits it.
-func setSendBuffer(_, _ string, c syscall.RawConn) error {
-	var sockErr error
-	err := c.Control(func(fd uintptr) {
-		sockErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_SNDBUF, sendBytes)
-	})
-	return errors.Join(err, sockErr)
-}
-
 // close shuts the server down at once if no connection is in use, and otherwise when no request is in flight or
 // the deadline has passed. Idle connections do not delay it.
 func (s *server) close(busy func() bool, deadline time.Time) {
--- /dev/null
+++ b/internal/peer/acceptor/norace.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package acceptor
+
+func synchronize(uintptr) {}
