Hold all ports of the test of fleet traffic until the last is chosen

Cause: each of 90 ports was closed before the next was chosen, so two nodes could get the same one ("address already in use", 2 of 4 runs of the package on a busy machine).

Ruled out: the change of the reporter under test; the failure is in Open of a node, before any report.

Change: the ports are closed together. What the test checks is unchanged.

--- a/internal/peer/reporter/fleet_test.go
+++ b/internal/peer/reporter/fleet_test.go
@@ -19,10 +19,15 @@
 func TestFleetTraffic(t *testing.T) {
 	const nodes, dataCentres, span = 90, 4, 2 * time.Second
 	members := make([]tracker.Member, nodes)
+	// All ports are held until the last is chosen, since a port that is free again may be chosen twice.
+	var held []net.PacketConn
 	for i := range members {
 		c, err := net.ListenPacket("udp4", "127.0.0.1:0")
 		assert.NilError(t, err)
 		members[i] = tracker.Member{Node: fmt.Sprint("vm-", i), DataCentre: fmt.Sprint("dc-", i%dataCentres), ReportAddress: c.LocalAddr().String(), TakesBatches: true, State: tracker.Ready}
+		held = append(held, c)
+	}
+	for _, c := range held {
 		assert.NilError(t, c.Close())
 	}
 	ctx, cancel := context.WithCancel(t.Context())
