Keep the positions of demand rows that name the same class as before

Cause: the class of each of a node's rows was looked up in a map by route and rank for each report and every 100 ms for its own rows. Nodes report the same classes in the same order most of the time.

Ruled out: a number for each class on the wire, which would change it.

Change: a row that names the same class as the old row in its place keeps its position.

--- a/internal/fleet/tracker/demand.go
+++ b/internal/fleet/tracker/demand.go
@@ -146,8 +146,9 @@
 	if !isNewer(r.Started, r.Sequence, n.report.Started, n.report.Sequence) {
 		return false
 	}
+	old := n.report.Rows
 	n.report, n.receivedAt = *r, now
-	t.demand.setPositions(n)
+	t.demand.setPositions(n, old)
 	return true
 }
 
@@ -268,10 +269,17 @@
 	}
 }
 
-// setPositions finds the classes of the node's rows, because they are summed up far more often than received.
-func (d *demandState) setPositions(n *nodeDemand) {
+// setPositions finds the classes of the node's rows, because they are summed up far more often than received. Rows that name
+// the same class as the old row in their place keep its position.
+func (d *demandState) setPositions(n *nodeDemand, old []DemandRow) {
+	known := min(len(n.positions), len(old))
+	positions := n.positions[:known]
 	n.positions = n.positions[:0]
-	for _, row := range n.report.Rows {
+	for k, row := range n.report.Rows {
+		if k < known && old[k].Route == row.Route && old[k].Rank == row.Rank && positions[k] >= 0 {
+			n.positions = append(n.positions, positions[k])
+			continue
+		}
 		class := demandClass{row.Route, row.Rank}
 		i, ok := d.index[class]
 		switch {
@@ -318,8 +326,9 @@
 		n = &nodeDemand{}
 		t.demand.byNode[t.Self] = n
 	}
+	old := n.report.Rows
 	n.report.Rows, n.report.Recent, n.receivedAt = rows, recent, now
-	t.demand.setPositions(n)
+	t.demand.setPositions(n, old)
 }
 
 // UnrankedDemand returns the demand, in slots by service, of the other nodes that send reports but whose demand by rank is
