--- a/internal/peer/forwarder/bench_test.go
+++ b/internal/peer/forwarder/bench_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/plantainwheel/plantainwheel/internal/peer/acceptor"
 	"github.com/plantainwheel/plantainwheel/internal/peer/forwarder"
 	"github.com/plantainwheel/plantainwheel/internal/route/transporter"
 	"github.com/plantainwheel/plantainwheel/internal/target/executor"
@@ -63,7 +64,12 @@
 	e := executor.New(targets)
 	e.Announce(platform.Announcement{ID: "i-1", Service: "x", Address: target.Listener.Addr().String(), Slots: 100, Sequence: 1, StartedAtMs: 1})
 	node := httptest.NewUnstartedServer(&forwarder.Server{Executor: e, Process: func() int64 { return 1 }})
-	node.Listener = countingListener{node.Listener, &calls}
+	_ = node.Listener.Close()
+	l, err := acceptor.Listen("127.0.0.1:0", acceptor.Options{SendBytes: 256 << 10, KeepAlive: 5 * time.Second})
+	if err != nil {
+		b.Fatal(err)
+	}
+	node.Listener = countingListener{l, &calls}
 	node.Start()
 	defer node.Close()
 	peers := &transporter.Pool{IdleTimeout: time.Minute, Dial: dial}
