Let a job keep the slot that it gets as its wait ends

TestNamedLimit/limit-in-successful-answers began 27 requests in 2 s (28 in runs with a log) at a limit of 20 a second, where at least 30 are wanted.

Cause: when a queued job was admitted at the moment its wait timer fired, the select could choose the timer. The job was then refused as waited-too-long, but the admission had already been charged to the rate that the target names, so that the target got fewer requests than its limit. In the test's simulated time both happen in the same instant each 50 ms; on a busy machine the same happens to a goroutine that runs late.

Ruled out: rounding in the rate limiter and ticks that come too late (the log of a failing run has refused jobs exactly where a start is missing).

Change: a job that has been admitted when its wait ends runs. One whose caller has left in that moment gives the slot and the charge back.

--- a/internal/policy/pacer/pacer.go
+++ b/internal/policy/pacer/pacer.go
@@ -95,6 +95,13 @@
 	}
 }
 
+// Release takes back a Take whose request was not sent.
+func (p *Pacer) Release(now time.Time) {
+	if p.limiter != nil {
+		p.limiter.ReserveN(now, -1)
+	}
+}
+
 // Delay returns the time until a request may begin before which the given number of others begin.
 func (p *Pacer) Delay(now time.Time, ahead int) time.Duration {
 	if p.limiter == nil {
--- a/internal/target/executor/executor.go
+++ b/internal/target/executor/executor.go
@@ -328,8 +328,9 @@
 	w.admitted <- admitted
 }
 
-// abandonWait removes the job from the queue and returns the reason. If the job has acquired a slot in the meantime,
-// the slot is released.
+// abandonWait removes the job from the queue and returns the reason. A job that has acquired a slot in the meantime keeps
+// it when only its wait has ended, and the result is "": the target's rate has been charged for the job. The slot of a
+// cancelled job is released.
 func (e *Executor) abandonWait(job *Job, entry *queuer.Entry, wait chan bool, reason string) string {
 	now := time.Now()
 	e.mu.Lock()
@@ -339,10 +340,15 @@
 		e.observeLoad(now)
 		return reason
 	}
-	if <-wait {
-		e.warmer.Release()
-		e.end(now, job)
+	if admitted := <-wait; !admitted {
+		return reason
+	}
+	if reason == ReasonQueueTimeout {
+		return ""
 	}
+	e.pacer.Release(now)
+	e.warmer.Release()
+	e.end(now, job)
 	return reason
 }
 
