Answer requests on accepted connections while a node closes

TestStopUnderLoad ended 5 requests with EOF on a machine with a load average above 28. The product is at fault: a planned stop can lose requests.

Cause: a closing server called Shutdown of net/http. A connection whose first request is read only after that call is closed without an answer (conn.serve checks shuttingDown right after it has read the header), so that a client that had connected shortly before got EOF. Then, 30 ms without a request in a handler sufficed to close all connections, although an answer is written only after its handler has returned, and a request that is being read has not reached its handler.

Ruled out: the requests served by the target (400 ms each, within the 4 s of the stop), and the executor's refusals, which are answers.

Change: a closing server closes its listener itself, once no established connection waits to be accepted (the kernel would reset it) or after 200 ms. It then follows the state of each connection and closes all of them when no request lacks its complete answer and no connection younger than 500 ms is without its first request, at the latest at the deadline as before. Idle connections still do not delay it; a connection that has never had a request delays it by up to 500 ms.

TestCloseLosesNoAnswer (simulated time) fails with EOF when Shutdown is called first and when 30 ms without a handler suffice. TestUnaccepted checks the length of the accept queue.

--- a/internal/node/attendant/attendant.go
+++ b/internal/node/attendant/attendant.go
@@ -373,7 +373,7 @@
 func (a *Attendant) closeServers(deadline time.Time) {
 	var closing sync.WaitGroup
 	for _, s := range a.servers {
-		closing.Go(func() { s.close(a.busy, deadline) })
+		closing.Go(func() { s.close(deadline) })
 	}
 	closing.Wait()
 }
--- a/internal/node/attendant/server.go
+++ b/internal/node/attendant/server.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 
@@ -32,11 +33,15 @@
 	keepAliveInterval = 5 * time.Second
 	// sendBytes is the size of the kernel's send buffer of a connection, which would otherwise grow to several MB for each
 	// download that the caller reads slowly.
-	sendBytes       = 256 << 10
-	shutdownTimeout = 150 * time.Millisecond
+	sendBytes = 256 << 10
 	// shutdownPollInterval is the interval at which a closing server checks for requests in flight.
 	shutdownPollInterval = 10 * time.Millisecond
-	shutdownIdlePolls    = 3
+	// newConnGrace is the age up to which a closing server waits for the first request of a connection. A client on
+	// a busy machine may take that long from its connect to its request.
+	newConnGrace = 500 * time.Millisecond
+	// maxAcceptDelay bounds the wait of a closing server for the moment at which all established connections are accepted.
+	// There may be none while clients keep connecting.
+	maxAcceptDelay = 200 * time.Millisecond
 	// maxAnnouncementBytes is the maximum size of an announcement's body.
 	maxAnnouncementBytes = 64 << 10
 	// maxControlBytes is the maximum size of the body of a control call, and controlTimeout the maximum time to read it.
@@ -52,16 +57,53 @@
 	name    string
 	address string
 	http    *http.Server
+	// listener is the listening socket, and accepted is closed when no further connection of it is accepted.
+	listener net.Listener
+	accepted chan struct{}
+
+	mu sync.Mutex
+	// conns holds the connections that are not idle: the time of its acceptance for one without a request yet, and zero for
+	// one whose request is not completely answered.
+	conns map[net.Conn]time.Time
 }
 
 func newServer(name, address string, h http.Handler) *server {
-	return &server{name: name, address: address, http: &http.Server{
+	s := &server{name: name, address: address, accepted: make(chan struct{}), conns: map[net.Conn]time.Time{}}
+	s.http = &http.Server{
 		Handler:           h,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		ErrorLog:          stdlog.New(io.Discard, "", 0),
-	}}
+		ConnState:         s.recordState,
+	}
+	return s
+}
+
+// recordState records that the connection has changed its state.
+func (s *server) recordState(c net.Conn, state http.ConnState) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch state {
+	case http.StateNew:
+		s.conns[c] = time.Now()
+	case http.StateActive:
+		s.conns[c] = time.Time{}
+	default:
+		delete(s.conns, c)
+	}
+}
+
+// inUse reports whether a request is not completely answered yet or the first one of a connection is to be expected.
+func (s *server) inUse() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, acceptedAt := range s.conns {
+		if acceptedAt.IsZero() || time.Since(acceptedAt) < newConnGrace {
+			return true
+		}
+	}
+	return false
 }
 
 // newControlServer returns a server for small requests, which bounds their size and the time to read them.
@@ -77,10 +119,18 @@
 	if err != nil {
 		return fmt.Errorf("listen for %s: %w", s.name, err)
 	}
-	go func() { _ = s.http.Serve(l) }()
+	s.serve(l)
 	return nil
 }
 
+func (s *server) serve(l net.Listener) {
+	s.listener = l
+	go func() {
+		defer close(s.accepted)
+		_ = s.http.Serve(l)
+	}()
+}
+
 // setSendBuffer bounds the kernel's send buffer of each accepted connection, which inherits it.
 func setSendBuffer(_, _ string, c syscall.RawConn) error {
 	var sockErr error
@@ -90,24 +140,47 @@
 	return errors.Join(err, sockErr)
 }
 
-// close shuts the server down at once if no connection is in use, and otherwise when no request is in flight or
-// the deadline has passed. Idle connections do not delay it.
-func (s *server) close(busy func() bool, deadline time.Time) {
-	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
-	defer cancel()
-	if s.http.Shutdown(ctx) == nil {
-		return
+// close shuts the server down when none of its connections is in use or the deadline has passed. Idle connections do not
+// delay it, and those that have never had a request only up to newConnGrace.
+//
+// It doesn't call Shutdown of net/http, after which a request whose header is read only then gets no answer: on a busy
+// machine, clients lost requests on connections that had been accepted before.
+func (s *server) close(deadline time.Time) {
+	if s.listener != nil {
+		for start := time.Now(); unaccepted(s.listener) > 0 && time.Since(start) < maxAcceptDelay; {
+			time.Sleep(time.Millisecond)
+		}
+		_ = s.listener.Close()
+		<-s.accepted
 	}
-	// busy does not count a request whose header is still being read, so a single idle check is not enough.
-	for idle := 0; idle < shutdownIdlePolls && time.Now().Before(deadline); idle++ {
+	s.http.SetKeepAlivesEnabled(false)
+	for s.inUse() && time.Now().Before(deadline) {
 		time.Sleep(shutdownPollInterval)
-		if busy() {
-			idle = 0
-		}
 	}
 	_ = s.http.Close()
 }
 
+// unaccepted returns the number of connections that clients have established but the process has not accepted yet. The
+// kernel resets them when the listening socket is closed.
+func unaccepted(l net.Listener) int {
+	tcp, ok := l.(*net.TCPListener)
+	if !ok {
+		return 0
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	n := 0
+	_ = raw.Control(func(fd uintptr) {
+		// Of a listening socket, this field is the length of the accept queue.
+		if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			n = int(info.Unacked)
+		}
+	})
+	return n
+}
+
 func (a *Attendant) controlAddress() string {
 	return a.Settings.IP + ":" + strconv.Itoa(a.Settings.ReportPort)
 }
--- a/internal/node/attendant/server_test.go
+++ b/internal/node/attendant/server_test.go
@@ -1,11 +1,14 @@
 package attendant
 
 import (
+	"bufio"
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -22,7 +25,7 @@
 	s := newServer("test", address, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		running.Add(1)
 		defer running.Add(-1)
-		time.Sleep(4 * shutdownTimeout)
+		time.Sleep(600 * time.Millisecond)
 		_, _ = io.WriteString(w, "whole")
 	}))
 	assert.NilError(t, s.open())
@@ -44,7 +47,100 @@
 		time.Sleep(time.Millisecond)
 	}
 	began := time.Now()
-	s.close(func() bool { return running.Load() > 0 }, began.Add(5*time.Second))
+	s.close(began.Add(5 * time.Second))
 	assert.Equal(t, <-got, "whole")
 	assert.Assert(t, time.Since(began) < 2*time.Second, "%s", time.Since(began))
 }
+
+// pipeListener accepts connections in memory.
+type pipeListener struct {
+	conns  chan net.Conn
+	closed chan struct{}
+	once   sync.Once
+}
+
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *pipeListener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return nil
+}
+
+func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+// delayedWriter delays each write, as a process does that is not scheduled.
+type delayedWriter struct {
+	net.Conn
+	delay time.Duration
+}
+
+func (w delayedWriter) Write(b []byte) (int, error) {
+	time.Sleep(w.delay)
+	return w.Conn.Write(b)
+}
+
+// TestCloseLosesNoAnswer guards against a closing server that breaks connections whose answer is not written yet although
+// its handler has returned, or whose client was slow to send its request after it had connected.
+func TestCloseLosesNoAnswer(t *testing.T) {
+	for _, c := range []struct {
+		name                string
+		clientLate, written time.Duration
+	}{
+		{"answer written late", 0, time.Second},
+		{"request sent late", 400 * time.Millisecond, 0},
+		{"both late", 400 * time.Millisecond, time.Second},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newServer("test", "", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "whole") }))
+				l := &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}
+				s.serve(l)
+				client, conn := net.Pipe()
+				defer client.Close()
+				l.conns <- delayedWriter{conn, c.written}
+				synctest.Wait()
+				var closing sync.WaitGroup
+				defer closing.Wait()
+				closing.Go(func() { s.close(time.Now().Add(5 * time.Second)) })
+				time.Sleep(c.clientLate)
+				_, err := io.WriteString(client, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+				assert.NilError(t, err)
+				resp, err := http.ReadResponse(bufio.NewReader(client), nil)
+				assert.NilError(t, err)
+				defer resp.Body.Close()
+				raw, err := io.ReadAll(resp.Body)
+				assert.NilError(t, err)
+				assert.Equal(t, string(raw), "whole")
+			})
+		})
+	}
+}
+
+// TestUnaccepted checks the number of connections that a closing listener would reset.
+func TestUnaccepted(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	assert.Equal(t, unaccepted(l), 0)
+	for range 2 {
+		c, err := net.Dial("tcp4", l.Addr().String())
+		assert.NilError(t, err)
+		defer c.Close()
+	}
+	for unaccepted(l) != 2 {
+		time.Sleep(time.Millisecond)
+	}
+	for _, left := range []int{1, 0} {
+		c, err := l.Accept()
+		assert.NilError(t, err)
+		defer c.Close()
+		assert.Equal(t, unaccepted(l), left)
+	}
+}
