Await the restarts of crashed targets before one is mended

TestMendedVersion failed once on a machine with a load average of 28 to 55; its message is not known.

Cause, from the code: a target that has crashed comes back 200 ms later in the background, and the test gave all of them 500 ms. A restart that takes longer opens the address that the mended target then also opens ("address already in use", which fails the test), or comes back as the new version and takes the mended one's place.

Ruled out: nothing by measurement.

Change: the test waits until each target that has crashed has announced itself again; all other steps and bounds are as before.

--- a/internal/node/attendant/crash_test.go
+++ b/internal/node/attendant/crash_test.go
@@ -40,6 +40,8 @@
 	// born holds the number of the latest incarnation of each target, and started that of those started so far.
 	born    []int
 	started int
+	// announced is the number of restarts that have been completed.
+	announced int
 	// version is the version of the next incarnations. Those of later ones than v1 do not crash.
 	version string
 }
@@ -93,6 +95,18 @@
 	c.born[i] = c.started + 1
 	c.mu.Unlock()
 	c.announce(i, 1)
+	c.mu.Lock()
+	c.announced++
+	c.mu.Unlock()
+}
+
+// awaitRestarts waits until all targets that have crashed are back.
+func (c *crashes) awaitRestarts() {
+	c.f.eventually("targets are back", func() bool {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		return c.announced == len(c.at)
+	})
 }
 
 // announce announces the latest incarnation of a target.
--- a/internal/node/attendant/quarantine_test.go
+++ b/internal/node/attendant/quarantine_test.go
@@ -89,6 +89,8 @@
 	f := newFleet(t, 3)
 	c := newCrashes(f, 200*time.Millisecond)
 	c.quarantine(3)
+	// A restart that is still going on would meet the one of mend at the same address, or start as the new version.
+	c.awaitRestarts()
 	time.Sleep(500 * time.Millisecond)
 	before := len(c.times())
 	c.mend(1)
