--- a/internal/peer/acceptor/norace.go
+++ /dev/null
@@ -1,5 +0,0 @@
-//go:build !race
-
-package acceptor
-
-func synchronize(uintptr) {}
