--- a/internal/caller/gateway/returning.go
+++ b/internal/caller/gateway/returning.go
@@ -62,7 +62,7 @@
 func (r *Returns) due(q *request) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.scheduler.Reservations() == 0 || !r.scheduler.Return(q.start, returnClass(q), r.key(q)) {
+	if r.scheduler.Reservations() == 0 || !r.scheduler.Return(q.start, classOf(q), r.key(q)) {
 		return false
 	}
 	r.served.Inc()
@@ -73,7 +73,7 @@
 // per second that this node admits.
 func (r *Returns) refuse(q *request, admittedRate float64) time.Duration {
 	refusal := &rescheduler.Refusal{
-		Class: returnClass(q), Key: r.key(q), AdmittedRate: admittedRate,
+		Class: classOf(q), Key: r.key(q), AdmittedRate: admittedRate,
 		Useful:   time.Duration(usefulShare * float64(q.route.Objective)),
 		MaxDelay: min(time.Duration(maxWaitShare*float64(time.Until(q.deadline))), maxRetryAfter),
 	}
@@ -86,13 +86,13 @@
 	return delay
 }
 
-func returnClass(q *request) rescheduler.Class {
-	return rescheduler.Class{Route: q.route.Name, Rank: q.rank}
+func classOf(q *request) allocator.Class {
+	return allocator.Class{Route: q.route.Name, Rank: q.rank}
 }
 
 // admitLoad sheds load, and returns nil if the request is admitted.
 func (g *Gateway) admitLoad(q *request) *refusal {
-	class := allocator.Class{Route: q.route.Name, Rank: q.rank}
+	class := classOf(q)
 	if g.Returns != nil && g.Returns.due(q) {
 		g.Shedder.AdmitReturning(class, q.root.Account)
 		return nil
--- a/internal/fleet/tracker/demand_gen.go
+++ b/internal/fleet/tracker/demand_gen.go
@@ -103,7 +103,7 @@
 			return
 		}
 		if z.Rows != nil && cap(z.Rows) >= int(zb0002) {
-			z.Rows = (z.Rows)[:zb0002]
+			z.Rows = z.Rows[:zb0002]
 		} else {
 			z.Rows = make([]DemandRow, zb0002)
 		}
@@ -150,7 +150,7 @@
 			return
 		}
 		if z.Recent != nil && cap(z.Recent) >= int(zb0004) {
-			z.Recent = (z.Recent)[:zb0004]
+			z.Recent = z.Recent[:zb0004]
 		} else {
 			z.Recent = make([]float32, zb0004)
 		}
@@ -172,7 +172,7 @@
 	for za0001 := range z.Rows {
 		s += 1 + msgp.StringPrefixSize + len(z.Rows[za0001].Route) + msgp.IntSize + msgp.Float32Size
 	}
-	s += msgp.ArrayHeaderSize + (len(z.Recent) * (msgp.Float32Size))
+	s += msgp.ArrayHeaderSize + (len(z.Recent) * msgp.Float32Size)
 	return
 }
 
@@ -249,7 +249,7 @@
 			return
 		}
 		if z.Rows != nil && cap(z.Rows) >= int(zb0002) {
-			z.Rows = (z.Rows)[:zb0002]
+			z.Rows = z.Rows[:zb0002]
 		} else {
 			z.Rows = make([]DemandRow, zb0002)
 		}
@@ -296,7 +296,7 @@
 			return
 		}
 		if z.Recent != nil && cap(z.Recent) >= int(zb0004) {
-			z.Recent = (z.Recent)[:zb0004]
+			z.Recent = z.Recent[:zb0004]
 		} else {
 			z.Recent = make([]float32, zb0004)
 		}
@@ -318,7 +318,7 @@
 	for za0001 := range z.Rows {
 		s += 1 + msgp.StringPrefixSize + len(z.Rows[za0001].Route) + msgp.IntSize + msgp.Float32Size
 	}
-	s += msgp.ArrayHeaderSize + (len(z.Recent) * (msgp.Float32Size))
+	s += msgp.ArrayHeaderSize + (len(z.Recent) * msgp.Float32Size)
 	return
 }
 
--- a/internal/policy/rescheduler/rescheduler.go
+++ b/internal/policy/rescheduler/rescheduler.go
@@ -7,7 +7,11 @@
 // are told a time without a reservation, spread over the rest of the time that callers wait.
 package rescheduler
 
-import "time"
+import (
+	"time"
+
+	"github.com/plantainwheel/plantainwheel/internal/policy/prioritizer"
+)
 
 const (
 	// MinDelay is the shortest delay that is given. The caller needs to open a connection meanwhile.
@@ -27,18 +31,12 @@
 	sweepInterval = time.Second
 )
 
-// Class identifies requests that are admitted or refused alike.
-type Class struct {
-	Route string
-	Rank  int
-}
-
 // Key identifies a request when it returns, under which it has another ID. Equal requests of an account have the same key.
 type Key uint64
 
 // Refusal describes a refused request.
 type Refusal struct {
-	Class Class
+	Class prioritizer.Class
 	Key   Key
 	// AdmittedRate is the number of requests of the class per second that are admitted at this node at present.
 	AdmittedRate float64
@@ -53,7 +51,7 @@
 	// Random returns a number in [0, 1).
 	Random func() float64
 
-	calendars    map[Class]*calendar
+	calendars    map[prioritizer.Class]*calendar
 	reservations map[Key]reservation
 	sweptAt      time.Time
 }
@@ -65,7 +63,7 @@
 }
 
 type reservation struct {
-	class Class
+	class prioritizer.Class
 	at    time.Time
 }
 
@@ -94,7 +92,7 @@
 
 // Return reports whether the request has a reservation whose time has come, and uses it up. A request that returns before
 // its time has none, but keeps its reservation.
-func (s *Scheduler) Return(now time.Time, class Class, key Key) bool {
+func (s *Scheduler) Return(now time.Time, class prioritizer.Class, key Key) bool {
 	if len(s.reservations) == 0 {
 		return false
 	}
@@ -111,9 +109,9 @@
 
 func (r *reservation) expired(now time.Time) bool { return now.Sub(r.at) > reservationLife }
 
-func (s *Scheduler) calendar(now time.Time, class Class) *calendar {
+func (s *Scheduler) calendar(now time.Time, class prioritizer.Class) *calendar {
 	if s.calendars == nil {
-		s.calendars, s.reservations = map[Class]*calendar{}, map[Key]reservation{}
+		s.calendars, s.reservations = map[prioritizer.Class]*calendar{}, map[Key]reservation{}
 	}
 	c := s.calendars[class]
 	if c == nil {
--- a/internal/policy/rescheduler/rescheduler_test.go
+++ b/internal/policy/rescheduler/rescheduler_test.go
@@ -6,13 +6,14 @@
 	"testing"
 	"time"
 
+	"github.com/plantainwheel/plantainwheel/internal/policy/prioritizer"
 	"github.com/plantainwheel/plantainwheel/internal/policy/rescheduler"
 	"gotest.tools/v3/assert"
 )
 
 var (
 	t0    = time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
-	class = rescheduler.Class{Route: "browse", Rank: 16}
+	class = prioritizer.Class{Route: "browse", Rank: 16}
 )
 
 func scheduler(seed uint64) *rescheduler.Scheduler {
@@ -50,7 +51,7 @@
 	delay, ok := s.Refuse(t0, refusal(7, 100))
 	assert.Assert(t, ok)
 	at := t0.Add(delay)
-	other := rescheduler.Class{Route: "order", Rank: 0}
+	other := prioritizer.Class{Route: "order", Rank: 0}
 	assert.Assert(t, !s.Return(at, class, 8))
 	assert.Assert(t, !s.Return(at, other, 7))
 	assert.Assert(t, !s.Return(at.Add(-100*time.Millisecond), class, 7))
