--- a/internal/fleet/tracker/flow_test.go
+++ b/internal/fleet/tracker/flow_test.go
@@ -25,6 +25,9 @@
 			m, _ := tr.Member("far")
 			tr.RecordStatement(&m, 0, true)
 		}, [2]float64{20, 0}},
+		{"evacuated", func(tr *tracker.Tracker) {
+			tr.Evacuated = func() map[string]bool { return map[string]bool{"b": true} }
+		}, [2]float64{20, 0}},
 		{"unreachable", func(tr *tracker.Tracker) { tr.MarkUnreachable("far") }, [2]float64{20, 0}},
 		{"refused once", func(tr *tracker.Tracker) { tr.MarkRefusing("far") }, [2]float64{20, 10}},
 		{"warming up", func(tr *tracker.Tracker) {
--- a/internal/fleet/tracker/tracker.go
+++ b/internal/fleet/tracker/tracker.go
@@ -73,6 +73,9 @@
 	DataCentre string
 	// ReportTimeout is the time without reports after which a node is suspect.
 	ReportTimeout time.Duration
+	// Evacuated, if set, returns the names of the evacuated data centres, whose targets get no requests. It is called
+	// while the lock is held.
+	Evacuated func() map[string]bool
 
 	mu    sync.Mutex
 	peers map[string]*peer
@@ -246,10 +249,11 @@
 	if len(peers) == 0 {
 		return list
 	}
+	evacuated := t.evacuated()
 	first := rand.IntN(len(peers))
 	for i := range peers {
 		p := peers[(first+i)%len(peers)]
-		if !t.takesRequests(p) || slices.Contains(tried, p.Node) {
+		if !t.takesRequests(p) || evacuated[p.DataCentre] || slices.Contains(tried, p.Node) {
 			continue
 		}
 		list = append(list, t.candidate(now, p, route))
--- a/internal/node/attendant/report.go
+++ b/internal/node/attendant/report.go
@@ -33,6 +33,10 @@
 	service := a.executor.Target().Service
 	a.admittedShare = min(1, shares[service])
 	a.correction.Reject(now, rejected)
+	if a.isEvacuated() {
+		// Nothing is shed for the sake of this target, so its node need not report at the urgent interval.
+		a.admittedShare = 1
+	}
 	a.correction.Tick(now, services[service].Load)
 }
 
