Don't wait for long control calls when a node closes

Other nodes wait for records of the store in control calls that take up to 5 s, so that a stop lasted until its deadline and beyond the grace period.

TestCloseLeavesWaitingControlCalls guards it in simulated time.

--- a/internal/node/attendant/server.go
+++ b/internal/node/attendant/server.go
@@ -47,6 +47,9 @@
 	// maxControlBytes is the maximum size of the body of a control call, and controlTimeout the maximum time to read it.
 	maxControlBytes = 64 << 10
 	controlTimeout  = 5 * time.Second
+	// controlCloseTime is how long a closing server waits for control calls. Other nodes wait for records of the store in
+	// calls that take seconds, and a stop must not wait for them.
+	controlCloseTime = 150 * time.Millisecond
 	// recordTimeout is how long the answer to a leaving target is delayed until the departure is stored, so that a
 	// later process of this node also knows of the departure. A target waits up to a second for the answer.
 	recordTimeout = 500 * time.Millisecond
@@ -60,6 +63,8 @@
 	// listener is the listening socket, and accepted is closed when no further connection of it is accepted.
 	listener net.Listener
 	accepted chan struct{}
+	// maxCloseTime, if not 0, bounds how long a closing server waits for its connections.
+	maxCloseTime time.Duration
 
 	mu sync.Mutex
 	// conns holds the connections that are not idle: the time of its acceptance for one without a request yet, and zero for
@@ -110,6 +115,7 @@
 func newControlServer(name, address string, h http.Handler) *server {
 	s := newServer(name, address, http.MaxBytesHandler(h, maxControlBytes))
 	s.http.ReadTimeout = controlTimeout
+	s.maxCloseTime = controlCloseTime
 	return s
 }
 
@@ -154,6 +160,9 @@
 		<-s.accepted
 	}
 	s.http.SetKeepAlivesEnabled(false)
+	if limit := time.Now().Add(s.maxCloseTime); s.maxCloseTime > 0 && limit.Before(deadline) {
+		deadline = limit
+	}
 	for s.inUse() && time.Now().Before(deadline) {
 		time.Sleep(shutdownPollInterval)
 	}
--- a/internal/node/attendant/server_test.go
+++ b/internal/node/attendant/server_test.go
@@ -123,6 +123,25 @@
 	}
 }
 
+// TestCloseLeavesWaitingControlCalls guards against a stop that takes as long as the calls in which other nodes wait for
+// records of the store.
+func TestCloseLeavesWaitingControlCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newControlServer("test", "", http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }))
+		l := &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}
+		s.serve(l)
+		client, conn := net.Pipe()
+		defer client.Close()
+		l.conns <- conn
+		_, err := io.WriteString(client, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		assert.NilError(t, err)
+		synctest.Wait()
+		began := time.Now()
+		s.close(began.Add(5 * time.Second))
+		assert.Assert(t, time.Since(began) <= 200*time.Millisecond, "%s", time.Since(began))
+	})
+}
+
 // TestUnaccepted checks the number of connections that a closing listener would reset.
 func TestUnaccepted(t *testing.T) {
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
