--- a/internal/fleet/tracker/flow.go
+++ b/internal/fleet/tracker/flow.go
@@ -43,9 +43,10 @@
 }
 
 // Capacities returns the capacity of each service by data centre, ordered by name. A data centre whose targets of a service
-// are all draining, silent, down or unreachable has a capacity of 0 there. A service's data centres include all those of
+// are all draining, silent, down, unreachable or evacuated has a capacity of 0 there. A service's data centres include all those of
 // the fleet.
 func (t *Tracker) Capacities(now time.Time) map[string][]DataCentreCapacity {
+	evacuated := t.evacuated()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var names []string
@@ -56,7 +57,7 @@
 		}
 		unreachable := p.suspectUntil.Sub(now) > 2*refusalBackoff
 		down := p.report.Target == p.Target && p.report.Sequence != 0 && !p.report.Up
-		if p.Service != "" && t.takesRequests(p) && !unreachable && !down && !t.reportOverdue(now, p) {
+		if p.Service != "" && t.takesRequests(p) && !evacuated[p.DataCentre] && !unreachable && !down && !t.reportOverdue(now, p) {
 			live[p.Service] = append(live[p.Service], p)
 		}
 	}
