Keep new processes to the rate after a loss of all nodes

Cause: the nodes of a flood fill the window before they hear of each other, and the new processes do not know of it. They admitted up to 5% more than the rate in the first 3.4 s, since each averaged its demand from zero and compared it with older reports of the others, so that the shares exceeded the whole.

Ruled out: more than the window's limit before the loss (about 0.99 of it at the loss, worked out from a trace). Shares from the demand as last reported (1.007 to 1.018), a constant reserve in floods (up to 4.1% of the rate lost), and admitting what was withheld after the first window (gains little).

Change: average the demand since the start of the process; withhold most at the start and nothing after a window; withhold more while the demand is above twice the rate and the burst below 1.2 s of the rate; withhold nothing of what other nodes report from before the start.

New test TestSharesAfterLossOfAllNodes: 3,380 of 3,360 requests before, 3,247 now. Smaller bursts lose 1.9 to 3.7% in floods after a loss of all nodes.

--- a/internal/policy/windowlimiter/replay_test.go
+++ b/internal/policy/windowlimiter/replay_test.go
@@ -453,3 +453,22 @@
 		assert.Check(t, worst <= 1)
 	}
 }
+
+// TestSharesAfterLossOfAllNodes guards against new processes whose shares of the rate together exceed the whole, because
+// each of them compares its own demand, while the known demand still grows, with older reports of the others.
+func TestSharesAfterLossOfAllNodes(t *testing.T) {
+	const span = 3500 * time.Millisecond
+	limit := windowlimiter.Limit{Rate: 240, Burst: 480}
+	admitted, allowed := 0, 0.0
+	for seed := range uint64(4) {
+		r := newReplay(seed, 74, limit)
+		r.delay = 200 * time.Millisecond
+		r.kill(r.pick(1), 500*time.Millisecond)
+		r.run(500*time.Millisecond, 0)
+		r.run(span, 7.5)
+		admitted += len(r.admitted)
+		allowed += limit.Rate * span.Seconds()
+	}
+	t.Logf("%d requests, %.0f at the rate", admitted, allowed)
+	assert.Check(t, float64(admitted) <= allowed, "%d requests, %.0f at the rate", admitted, allowed)
+}
--- a/internal/policy/windowlimiter/windowlimiter.go
+++ b/internal/policy/windowlimiter/windowlimiter.go
@@ -56,10 +56,17 @@
 	// startRetryDelay is the longest time after which a caller is told to come back once the demand is known, until the
 	// node has run for a window.
 	startRetryDelay = 600 * time.Millisecond
-	// startReserve is the part of the rate that a node withholds until it has run for a window, if the account has no
-	// burst. The processes before it may have admitted requests ahead of the rate. A burst of a second of the rate, which
-	// is withheld then, covers that.
-	startReserve = 0.14
+	// startReserve is the part of the rate that a node withholds as it starts, if the account has no burst. It declines to
+	// none within a window. The processes before the node may have admitted requests ahead of the rate, which is unknown if
+	// all of them are lost. A burst of a second of the rate, which is not admitted in that window, covers that.
+	startReserve = 0.2
+	// floodReserve is withheld in addition, if the account has no burst, while its demand is maxFloodDemand times its rate
+	// or more; at minFloodDemand times the rate and below, nothing is. In a flood with reports 0.2 s late, lost processes
+	// have admitted more than startReserve covers. Only a burst of floodReserveBurst covers that.
+	floodReserve      = 0.35
+	minFloodDemand    = 2
+	maxFloodDemand    = 5
+	floodReserveBurst = 1200 * time.Millisecond
 	// silenceTimeout is the time without any report after which a node is taken for silent. Nodes that have nothing to
 	// report say so once a second. From lagTime on, a node may have used a growing part of its share of the limit.
 	silenceTimeout = 2 * time.Second
@@ -126,6 +133,8 @@
 	offered      float64
 	demand       float64
 	demandSince  time.Duration
+	// observedSince is when the node began to count the offered requests, or earlier than the demand window.
+	observedSince time.Duration
 	// rateTokens limits admission near the account's limit; admitTokens limits the requests that go on to
 	// load shedding.
 	rateTokens  float64
@@ -165,7 +174,12 @@
 	}
 	a := l.accounts[name]
 	if a == nil {
-		a = &account{demandSince: now, refilledAt: now, admitTokens: minAdmitTokens}
+		a = &account{demandSince: now, observedSince: now - demandWindow, refilledAt: now, admitTokens: minAdmitTokens}
+		if now-l.Started < demandWindow {
+			// There have been no requests since the start.
+			a.demandSince = min(l.Started, now)
+			a.observedSince = a.demandSince
+		}
 		if l.Random != nil {
 			a.rateTokens = l.Random()
 		}
@@ -187,7 +201,9 @@
 	if span < demandWindow/4 {
 		return
 	}
-	weight := min(1, span.Seconds()/demandWindow.Seconds())
+	// Until a demand window has passed, the demand is the average since the start. An average that grows from zero would
+	// be higher here than in the older reports of the other nodes, and the shares of all nodes would exceed the whole.
+	weight := min(1, span.Seconds()/min(demandWindow, now-a.observedSince).Seconds())
 	a.demand += weight * (a.offered/span.Seconds() - a.demand)
 	a.offered = 0
 	a.demandSince = now
@@ -310,8 +326,11 @@
 	a.windowLimit, a.used, a.fleetDemand = windowLimit, u.used+windowLimit-available, u.demand
 	rate := max(available, 0) / l.Window.Seconds()
 	if !historyComplete {
-		// Requests admitted before the start may still be within the window, so no burst is allowed.
-		rate = limit.Rate * heardShare * (1 - startReserve*max(1-limit.Burst/limit.Rate, 0))
+		// Requests admitted before the start may still be within the window, so the burst is allowed only as far as those
+		// are known.
+		known := l.knownPart(now, limit, u.used)
+		withheld := limit.Rate * l.withheldPart(now, limit, u.demand)
+		rate = heardShare * (limit.Rate - (1-known)*withheld + known*limit.Burst/l.Window.Seconds())
 	}
 	share := l.demandShare(now, a, u.demand)
 	savedShare := share
@@ -336,6 +355,22 @@
 	return false, delay
 }
 
+// withheldPart returns the part of the rate that this node withholds for requests that lost processes may have admitted
+// ahead of the rate. Those were admitted before the start, so that each window which contains any of them and requests of
+// this node contains this node's first ones: what is withheld early counts in all of these windows.
+func (l *Limiter) withheldPart(now time.Duration, limit Limit, demand float64) float64 {
+	burst := limit.Burst / limit.Rate
+	flood := (demand/limit.Rate - minFloodDemand) / (maxFloodDemand - minFloodDemand)
+	part := startReserve*max(1-burst, 0) + floodReserve*max(1-burst/floodReserveBurst.Seconds(), 0)*min(max(flood, 0), 1)
+	return part * (1 - float64(now-l.Started)/float64(l.Window))
+}
+
+// knownPart returns which part of the rate's use within a window before the start is known, because not all nodes were lost.
+func (l *Limiter) knownPart(now time.Duration, limit Limit, used float64) float64 {
+	earlier := used - limit.Rate*(now-l.Started).Seconds()
+	return min(max(earlier/(limit.Rate*l.Window.Seconds()), 0), 1)
+}
+
 // heardShare returns the share of the nodes that are heard, or 0 until the nodes are known.
 func (l *Limiter) heardShare() float64 {
 	if l.nodes == 0 {
