Keep the addresses of soaks and of draining targets free

Cause: a target that drains or leaves goes on listening for 3 s, but is no longer the node's target. The test's own launcher is at fault, not the node.

Ruled out: two soaks at the same addresses. With addresses of its own the failure came all the same. They could still take ports of each other's stopped nodes, so the addresses now differ between processes.

Change: a target starts after the one before has closed its socket.

--- a/internal/soak/launcher/cold.go
+++ b/internal/soak/launcher/cold.go
@@ -59,11 +59,12 @@
 // ReturnCold crashes the target and starts it again after the given time, cold and under the same ID. It announces itself
 // late.
 func (n *Node) ReturnCold(down, warmUp time.Duration) error {
-	old := n.detachTarget()
+	old, closed := n.detachTarget()
 	if old == nil {
 		return n.StartTarget()
 	}
 	old.crash()
+	closed()
 	old.setLimit(0)
 	time.Sleep(down)
 	n.mu.Lock()
--- a/internal/soak/launcher/launcher.go
+++ b/internal/soak/launcher/launcher.go
@@ -27,10 +27,6 @@
 const (
 	service         = "booths"
 	dataCentreCount = 2
-	// Nodes listen on 127.0.61.N and the relays in front of them on 127.0.62.N. Both addresses have the same length,
-	// so that one can replace the other in a length-prefixed record of the store.
-	nodePrefix  = "127.0.61."
-	relayPrefix = "127.0.62."
 	// firstHostOctet is the last octet of the first node's address.
 	firstHostOctet = 10
 	// Guaranteed times and rates, with the values that the users' sites configure.
@@ -47,6 +43,19 @@
 	retryBudgetWindow = 10 * time.Second
 )
 
+// Nodes listen on addresses with nodePrefix and the relays in front of them on those with relayPrefix. Both have the same
+// length, so that one can replace the other in a length-prefixed record of the store. The prefixes differ between
+// processes, because the ports of a stopped node are free, and another soak that took one would keep the node from
+// starting again ("address already in use").
+var nodePrefix, relayPrefix = prefixes(os.Getpid())
+
+// prefixes returns the prefixes for a process ID. All octets of them have three digits.
+func prefixes(pid int) (node, relay string) {
+	const first, octets = 100, 50
+	second, third := pid/octets%octets, first+pid%octets
+	return fmt.Sprintf("127.%d.%d.", first+second, third), fmt.Sprintf("127.%d.%d.", first+octets+second, third)
+}
+
 // Bounds returns the bounds that the fleet must keep.
 func Bounds() checker.Bounds {
 	return checker.Bounds{
@@ -98,6 +107,8 @@
 	frozenDuringStop atomic.Bool
 	target           *target
 	incarnations     int
+	// targetClosed is closed when the latest target that was detached no longer listens.
+	targetClosed chan struct{}
 }
 
 // Indexes of a node's ports, in the order in which they are allocated.
@@ -352,6 +363,10 @@
 
 // StartTarget starts a new incarnation of the target unless one is running.
 func (n *Node) StartTarget() error {
+	// A target that drains still listens at the address.
+	if closed := n.lastTargetClosed(); closed != nil {
+		<-closed
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.target != nil {
@@ -369,13 +384,25 @@
 	return nil
 }
 
-// detachTarget removes the target from the node and returns it, so that only one caller stops it.
-func (n *Node) detachTarget() *target {
+func (n *Node) lastTargetClosed() chan struct{} {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.targetClosed
+}
+
+// detachTarget removes the target from the node and returns it, so that only one caller stops it. The caller must call
+// closed when the target no longer listens. The target is nil if there is none.
+func (n *Node) detachTarget() (t *target, closed func()) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	t := n.target
+	if n.target == nil {
+		return nil, nil
+	}
+	t = n.target
 	n.target = nil
-	return t
+	done := make(chan struct{})
+	n.targetClosed = done
+	return t, func() { close(done) }
 }
 
 // restartCrashed ends an incarnation that a request has crashed, and starts the next one.
@@ -395,21 +422,24 @@
 
 // CrashTarget crashes the target, which stops without an announcement.
 func (n *Node) CrashTarget() {
-	if t := n.detachTarget(); t != nil {
+	if t, closed := n.detachTarget(); t != nil {
+		defer closed()
 		t.crash()
 	}
 }
 
 // DrainTarget drains the target and stops it.
 func (n *Node) DrainTarget() {
-	if t := n.detachTarget(); t != nil {
+	if t, closed := n.detachTarget(); t != nil {
+		defer closed()
 		t.drain(drainTime)
 	}
 }
 
 // LeaveTarget makes the target leave without an announcement.
 func (n *Node) LeaveTarget() {
-	if t := n.detachTarget(); t != nil {
+	if t, closed := n.detachTarget(); t != nil {
+		defer closed()
 		t.leave(drainTime)
 	}
 }
