Check declarations as a whole before they are sent

Cause: plantainwheel check stopped at the first invalid declaration, named only its line, and accepted files whose declarations have no effect or refer to nothing. What apply would change could not be seen beforehand.

Ruled out: limits that the declarations do not hold (a response-time objective, retries; the retry budget is in the settings of a node). Differences as findings, because a file that is to be applied differs as a rule. Reporting references to resources in force as faults, because apply deletes nothing.

A settings file is checked as before.

Measurement: go test of internal/setting/..., and of cmd/plantainwheel with the scripts check, check-declarations and path, passes; go vet and staticcheck of internal/setting and internal/operator report nothing. The whole test suite and the fuzzing beyond the seeds were not run for this commit.

--- a/internal/operator/commander/commander.go
+++ b/internal/operator/commander/commander.go
@@ -18,7 +18,8 @@
 const (
 	exitOK     = 0
 	exitFailed = 1
-	// exitInvalid is the status for an invalid settings file, declarations file or load plan.
+	// exitInvalid is the status for an invalid settings file, declarations file or load plan, and for a check that could
+	// not be made.
 	exitInvalid = 2
 )
 
@@ -42,7 +43,7 @@
 	switch {
 	case err == nil:
 		return exitOK
-	case errors.Is(err, loader.ErrInvalid):
+	case errors.Is(err, loader.ErrInvalid), errors.Is(err, errUnusable):
 		fmt.Fprintln(stderr, err)
 		return exitInvalid
 	default:
@@ -93,26 +94,3 @@
 	}
 	return nil
 }
-
-func checkCommand(stdout io.Writer) *cli.Command {
-	return &cli.Command{
-		Name:      "check",
-		Usage:     "validate a settings file, or with --declarations a file of declarations",
-		ArgsUsage: "FILE",
-		Flags:     []cli.Flag{&cli.BoolFlag{Name: "declarations"}},
-		Action: func(_ context.Context, c *cli.Command) error {
-			path := c.Args().First()
-			var err error
-			if c.Bool("declarations") {
-				_, err = loader.LoadDeclarations(path)
-			} else {
-				_, err = loader.Load(path)
-			}
-			if err != nil {
-				return err
-			}
-			fmt.Fprintf(stdout, "%s: valid\n", path)
-			return nil
-		},
-	}
-}
