Plan flows from the costs and demand that admission has just computed

Cause: planFlows averaged the route costs of all targets again in a cache of its own, and summed the demand by data centre again, each right after plan had done the same.

Ruled out: a cache in the tracker; both callers run one after the other in plan.

Change: plan keeps the mean costs beside the total ones and passes the demand on. No change of behaviour: the costs are those of the same interval, and newer in a node's first 3 s.

--- a/internal/node/attendant/admission.go
+++ b/internal/node/attendant/admission.go
@@ -65,8 +65,9 @@
 	urgent bool
 }
 
-// updateAdmission computes from the demand of the whole fleet which requests are admitted here.
-func (a *Attendant) updateAdmission(now time.Time, costs allocator.TotalCosts, services map[string]tracker.Service) {
+// updateAdmission computes from the demand of the whole fleet which requests are admitted here. It returns the demand of each
+// data centre.
+func (a *Attendant) updateAdmission(now time.Time, costs allocator.TotalCosts, services map[string]tracker.Service) []tracker.DataCentreDemand {
 	rows, recent := demandRows(a.gateway.Shedder.Demand())
 	a.tracker.SetOwnDemand(now, rows, recent)
 	byDataCentre := a.tracker.Demand(now)
@@ -89,6 +90,7 @@
 	a.planMu.Lock()
 	defer a.planMu.Unlock()
 	a.admission = admission{rows: rows, recent: recent, urgent: utilisation > urgentUtilisation}
+	return byDataCentre
 }
 
 // buildDemand returns the demand that enters at this node, for the other nodes.
--- a/internal/node/attendant/attendant.go
+++ b/internal/node/attendant/attendant.go
@@ -117,7 +117,9 @@
 	// targetCold is the condition of the target that was last logged. Only logCold uses it.
 	targetCold bool
 
-	// totalCosts holds the costs of requests at the time costsAt. Only plan uses them.
+	// meanCosts holds the costs of a request of each route at the time costsAt, and totalCosts those with all calls. Only
+	// plan uses them.
+	meanCosts  map[string]allocator.RouteCosts
 	totalCosts allocator.TotalCosts
 	costsAt    time.Time
 	// sharesAt is when the shares of the client accounts were computed. Only plan uses it.
--- a/internal/node/attendant/flow.go
+++ b/internal/node/attendant/flow.go
@@ -17,30 +17,27 @@
 
 // flowState is what the flows between data centres are planned from. Only planFlows uses it.
 type flowState struct {
-	at, costsAt time.Time
-	costs       map[string]allocator.RouteCosts
-	gauges      map[flowKey]*metrics.Gauge
+	at     time.Time
+	gauges map[flowKey]*metrics.Gauge
 	// disabled turns the plan off, for comparison in tests.
 	disabled bool
 }
 
 type flowKey struct{ service, to string }
 
-// planFlows plans which part of this data centre's demand is sent to others, from the sums that all nodes report.
-func (a *Attendant) planFlows(now time.Time) {
+// planFlows plans which part of this data centre's demand is sent to others, from the sums that all nodes report. demand is
+// that of each data centre.
+func (a *Attendant) planFlows(now time.Time, demand []tracker.DataCentreDemand) {
 	f := &a.flows
 	if now.Sub(f.at) < flowplanner.Interval {
 		return
 	}
 	f.at = now
-	if f.costs == nil || now.Sub(f.costsAt) >= costsInterval {
-		f.costs, f.costsAt = a.tracker.RouteCosts(now), now
-	}
 	own := a.Settings.DataCentre
 	var services []flowplanner.Service
 	if table := a.keeper.Table(); table != nil {
 		in := flowInputs{
-			table: table, demand: a.tracker.Demand(now), costs: f.costs, capacities: a.tracker.Capacities(now),
+			table: table, demand: demand, costs: a.meanCosts, capacities: a.tracker.Capacities(now),
 			fraction: a.gateway.Shedder.AdmittedFraction, kb: a.gateway.Flows.KB,
 		}
 		services = in.services()
--- a/internal/node/attendant/report.go
+++ b/internal/node/attendant/report.go
@@ -14,7 +14,8 @@
 func (a *Attendant) plan(now time.Time) {
 	if now.Sub(a.costsAt) >= costsInterval || now.Sub(a.started) < startupUrgentPeriod {
 		a.costsAt = now
-		a.totalCosts = allocator.NewTotalCosts(a.tracker.RouteCosts(now))
+		a.meanCosts = a.tracker.RouteCosts(now)
+		a.totalCosts = allocator.NewTotalCosts(a.meanCosts)
 	}
 	costs := a.totalCosts
 	services := a.tracker.Services(now)
@@ -24,8 +25,8 @@
 	for name, s := range services {
 		shares[name] = regulator.AdmittedShare(s.Slots, s.Correction, s.Demand+demand[name])
 	}
-	a.updateAdmission(now, costs, services)
-	a.planFlows(now)
+	byDataCentre := a.updateAdmission(now, costs, services)
+	a.planFlows(now, byDataCentre)
 	rejected := a.executor.Load().Rejected
 	a.planMu.Lock()
 	defer a.planMu.Unlock()
