--- a/review/_standin/status.go
+++ b/review/_standin/status.go
@@ -13,6 +13,7 @@
 func init() { cases["status"] = runStatus }
 
 const (
+	// statusRequests are sent within 5 s.
 	statusRequests = 1000
 	// spoiltShare is the share of the answers that the faulty one of the two instances spoils.
 	spoiltShare = 0.05
@@ -72,7 +73,7 @@
 				}
 			}
 		})
-		time.Sleep(10 * time.Millisecond)
+		time.Sleep(4500 * time.Microsecond)
 	}
 	all.Wait()
 	rec.printf("answers by status: %v; spoilt by the instance: %d; successes without a seal: %d", answers, len(spoilt), wrong)
