--- a/review/_standin/instance.go
+++ b/review/_standin/instance.go
@@ -86,14 +86,6 @@
 	return false
 }
 
-// drain reports draining and returns when that was acknowledged.
-func (i *instance) drain() bool {
-	i.mu.Lock()
-	i.state = "draining"
-	i.mu.Unlock()
-	return i.beat()
-}
-
 func (i *instance) close() {
 	close(i.stop)
 	_ = i.listener.Close()
--- a/review/_standin/store.go
+++ b/review/_standin/store.go
@@ -15,8 +15,6 @@
 type store struct {
 	mu     sync.Mutex
 	topics map[string]*topic
-	// down makes every call answer 503.
-	down bool
 }
 
 type topic struct {
@@ -66,20 +64,7 @@
 	return offset
 }
 
-func (s *store) setDown(down bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.down = down
-}
-
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	s.mu.Lock()
-	down := s.down
-	s.mu.Unlock()
-	if down {
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
-	}
 	name := r.URL.Query().Get("topic")
 	switch r.URL.Path {
 	case "/-/log-append":
