Review case 2: read a part of each body first, and pause for longer

Cause: Linux notices the closed window only at its probes, 1.4 s after it closed, which left the pause of 1.5 s little room on another machine. Change: the instance reads 64 KiB of each body and pauses for 2.5 s.

--- a/review/_standin/slowread.go
+++ b/review/_standin/slowread.go
@@ -18,8 +18,9 @@
 	slowRequests = 20
 	slowEvery    = 50 * time.Millisecond
 	slowBody     = 1 << 20
-	// slowPause is how long an instance that reads slowly waits between the head of a request and its body.
-	slowPause   = 1500 * time.Millisecond
+	// slowPause is how long an instance that reads slowly waits after the first slowFirst bytes of a body.
+	slowFirst   = 64 << 10
+	slowPause   = 2500 * time.Millisecond
 	slowWork    = 100 * time.Millisecond
 	slowTimeout = 8 * time.Second
 )
@@ -58,10 +59,15 @@
 	for k, n := range f.nodes {
 		in := newInstance(n, fmt.Sprintf("i-%d", k+1), 100, func(c net.Conn, _ *bufio.Reader, r *http.Request) bool {
 			run := &slowRun{began: time.Now()}
-			if trouble {
+			read, err := io.CopyN(io.Discard, r.Body, slowFirst)
+			if trouble && err == nil {
 				time.Sleep(slowPause)
 			}
-			read, err := io.Copy(io.Discard, r.Body)
+			if err == nil {
+				var rest int64
+				rest, err = io.Copy(io.Discard, r.Body)
+				read += rest
+			}
 			mu.Lock()
 			run.read, run.err = read, err
 			runs[r.Header.Get(idHeader)] = run
