Decide in one place what is an answer of a target

A status of 001 to 099 closed their connection, a 101 hung the request past all time limits and held the target's slot for good.

Cause: readAnswer demanded the request's ID, and of successes a signature; everything else passed as the target's answer, while net/http parses any three digits as a status. WriteBody took 0 for "no status" and wrote 200, since answers between nodes that carry no answer of a target had none. Ruled out: answers of other requests (each had its own ID), and the hop (the same at the target's own node).

Change: findDefect decides from the header (HTTP/1, status 200 to 599, own ID, signature, no encoding, no body where none is allowed); all else is answered with 502 at once and releases connection and slot. No status stands for "not set" any more. A counter and a log line name the defect.

--- a/internal/node/attendant/attendant.go
+++ b/internal/node/attendant/attendant.go
@@ -104,6 +104,8 @@
 	publishMu  sync.Mutex
 	// targetLogLimiter limits the log lines on what the target says in its answers.
 	targetLogLimiter loglimiter.Limiter
+	// invalidLogLimiter limits the log lines on responses of the target that are no answers.
+	invalidLogLimiter loglimiter.Limiter
 
 	// evacuations is nil in deployments without evacuations.
 	evacuations *keeper.Evacuations
@@ -150,6 +152,7 @@
 	a.admittedShare = 1
 	a.silentMembers = a.Metrics.NewGauge("rate_limit_silent_members", nil)
 	a.targetLogLimiter.PerSecond = targetLinesPerSecond
+	a.invalidLogLimiter.PerSecond = targetLinesPerSecond
 	a.keeper = &keeper.Keeper{Decode: platform.DecodeConfig}
 	a.tracker = &tracker.Tracker{Self: cfg.Node, DataCentre: cfg.DataCentre, ReportTimeout: nodeSilenceTimeout}
 	targets := executor.NewPool(a.Metrics)
@@ -158,12 +161,14 @@
 	a.pools = []*transporter.Pool{targets, peers}
 	a.executor = executor.New(targets)
 	a.executor.OnStateChange = a.handleTargetState
+	a.observeInvalidAnswers()
 	a.isolator = &isolator.Isolator{Self: cfg.Node, Log: a.Log, Metrics: a.Metrics}
 	a.executor.Guard = a.isolator
 	a.buildEvacuations()
 	a.observeCold(targets)
 	a.executor.Objective = a.objective
 	a.executor.OnSend = a.Metrics.NewCounter("target_requests_sent_total").Inc
+	a.Metrics.NewGauge("target_requests_running", func() float64 { return float64(a.executor.Load().Running) })
 	wake := make(chan struct{}, 1)
 	a.copy = &distributor.Copy{Now: timekeeper.SinceBoot, OnQuestion: func(topic string, stale bool) bool { return a.watcher.HandleQuestion(topic, stale) }}
 	a.watcher = &watcher.Watcher{
--- a/internal/node/attendant/report.go
+++ b/internal/node/attendant/report.go
@@ -1,12 +1,15 @@
 package attendant
 
 import (
+	"fmt"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/plantainwheel/plantainwheel/internal/fleet/tracker"
 	"github.com/plantainwheel/plantainwheel/internal/policy/allocator"
 	"github.com/plantainwheel/plantainwheel/internal/policy/estimator"
 	"github.com/plantainwheel/plantainwheel/internal/policy/regulator"
+	"github.com/plantainwheel/plantainwheel/internal/target/executor"
 	"github.com/plantainwheel/plantainwheel/platform"
 )
 
@@ -82,6 +85,28 @@
 		Msg("target state changed")
 }
 
+// observeInvalidAnswers counts and logs the responses of the target that are no answers.
+func (a *Attendant) observeInvalidAnswers() {
+	counters := map[string]*metrics.Counter{}
+	for _, defect := range executor.Defects {
+		counters[defect] = a.Metrics.NewCounter(fmt.Sprintf("target_invalid_answers_total{defect=%q}", defect))
+	}
+	a.executor.OnInvalidAnswer = func(requestID string, status int, defect string) {
+		counters[defect].Inc()
+		ok, dropped := a.invalidLogLimiter.Allow(time.Now())
+		if !ok {
+			return
+		}
+		a.Log.Warn().
+			Str("request", requestID).
+			Str("target", a.executor.Target().ID).
+			Int("status", status).
+			Str("defect", defect).
+			Int("lines-left-out", dropped).
+			Msg("invalid answer of the target")
+	}
+}
+
 // urgentLoad is the load per slot above which reports are sent at the urgent interval.
 const urgentLoad = 0.7
 
--- a/internal/peer/forwarder/forwarder.go
+++ b/internal/peer/forwarder/forwarder.go
@@ -55,6 +55,9 @@
 	reasonOtherProcess  = "node-restarted"
 )
 
+// reasonNodeAnswer means that the response of the other node is none of this product.
+const reasonNodeAnswer = "node-answer"
+
 // errMalformedHop is returned for a missing or malformed hopHeader.
 var errMalformedHop = errors.New("malformed hop header")
 
@@ -162,9 +165,10 @@
 		cancel()
 	}
 	hop, err := decodeAnswerHop(resp.Header.Get(hopHeader))
-	if err != nil {
+	if err != nil || !transporter.IsFinalStatus(resp.StatusCode) {
+		// Nodes of earlier versions pass on any status.
 		release()
-		return transporter.UnknownAnswer("node-answer")
+		return transporter.UnknownAnswer(reasonNodeAnswer)
 	}
 	resp.Header.Del(hopHeader)
 	f.LoadTracker.RecordLoad(node, hop.running, hop.waiting, hop.limit)
@@ -177,15 +181,19 @@
 		release()
 	}
 	switch hop.outcome {
+	case outcomeAnswered:
+		transporter.StripConnection(resp.Header)
+		return &transporter.Answer{Status: resp.StatusCode, Header: resp.Header, Body: body, Close: release}
 	case outcomeNotRun:
 		release()
 		return transporter.NotRunAnswer(hop.reason)
 	case outcomeUnknown:
 		release()
 		return transporter.UnknownAnswer(hop.reason)
+	default:
+		release()
+		return transporter.UnknownAnswer(reasonNodeAnswer)
 	}
-	transporter.StripConnection(resp.Header)
-	return &transporter.Answer{Status: resp.StatusCode, Header: resp.Header, Body: body, Close: release}
 }
 
 // packedHeaders are the headers whose values are moved into hopHeader, because their names are usually longer
--- a/internal/peer/forwarder/server.go
+++ b/internal/peer/forwarder/server.go
@@ -83,8 +83,10 @@
 	switch {
 	case a.NotRun:
 		h.outcome = outcomeNotRun
+		a = hopAnswer
 	case a.Unknown:
 		h.outcome = outcomeUnknown
+		a = hopAnswer
 	default:
 		h.reason = strconv.FormatInt(took.Microseconds(), 10)
 	}
@@ -96,7 +98,10 @@
 	WriteBody(w, a)
 }
 
-// WriteBody writes the status, the content length and the body. If the body stream fails, or the client has not taken
+// hopAnswer carries an outcome that is not an answer of the target to the other node.
+var hopAnswer = &transporter.Answer{Status: http.StatusOK}
+
+// WriteBody writes the status, the content length and the body. The status must be that of a final answer. If the body stream fails, or the client has not taken
 // all of it at a.Until, it aborts the connection, so that the client does not take the response for complete.
 func WriteBody(w http.ResponseWriter, a *transporter.Answer) {
 	header := w.Header()
@@ -108,13 +113,9 @@
 		// Prevents net/http from sniffing the content type.
 		header["Content-Type"] = nil
 	}
-	status := a.Status
-	if status == 0 {
-		status = http.StatusOK
-	}
 	if a.Body.Stream == nil {
 		header.Set("Content-Length", strconv.Itoa(len(a.Body.Buffered)))
-		w.WriteHeader(status)
+		w.WriteHeader(a.Status)
 		_, _ = w.Write(a.Body.Buffered)
 		return
 	}
@@ -127,7 +128,7 @@
 	if !a.Until.IsZero() {
 		_ = conn.SetWriteDeadline(a.Until)
 	}
-	w.WriteHeader(status)
+	w.WriteHeader(a.Status)
 	if _, err := io.Copy(w, a.Body.Stream); err != nil {
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/standin/responder/responder.go
+++ b/internal/standin/responder/responder.go
@@ -99,6 +99,7 @@
 	OnCrash func()
 
 	mu          sync.Mutex
+	script      *Script
 	fault       Fault
 	headers     string
 	sentBytes   int
@@ -151,6 +152,24 @@
 	r.fault = f
 }
 
+// Script replaces what the responder writes in response to a request.
+type Script struct {
+	// Raw is written as it is, but for {id}, which stands for the ID of the request.
+	Raw string
+	// Later, if set, is written once more LaterAfter after Raw, whatever has been received meanwhile.
+	Later      string
+	LaterAfter time.Duration
+	// Close closes the connection after Raw, CloseReset resets it.
+	Close, CloseReset bool
+}
+
+// SetScript sets the script of all subsequent responses, or none if s is nil. It takes precedence over the fault.
+func (r *Responder) SetScript(s *Script) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.script = s
+}
+
 // SetHeaders sets header lines, each with its line end, that all subsequent responses have.
 func (r *Responder) SetHeaders(lines string) {
 	r.mu.Lock()
@@ -221,7 +240,7 @@
 // respond runs a request and responds to it. It returns false if the connection must be closed.
 func (r *Responder) respond(c net.Conn, req *http.Request, body string) bool {
 	r.mu.Lock()
-	f := r.fault
+	f, script := r.fault, r.script
 	headers, serviceTime := r.headers, r.ServiceTime
 	rejected := f == Shed || f == Misdirected
 	if !rejected {
@@ -242,6 +261,9 @@
 		_, _ = io.Copy(io.Discard, c)
 		return false
 	}
+	if script != nil {
+		return script.write(c, id)
+	}
 	if f.isEndless() {
 		r.writeEndless(c, f, id)
 		return false
@@ -290,6 +312,21 @@
 	}
 }
 
+// write writes a scripted response. It returns false if the connection must be closed.
+func (s *Script) write(c net.Conn, id string) bool {
+	fill := func(text string) string { return strings.ReplaceAll(text, "{id}", id) }
+	if !write(c, fill(s.Raw)) {
+		return false
+	}
+	if s.Later != "" {
+		time.AfterFunc(s.LaterAfter, func() { write(c, fill(s.Later)) })
+	}
+	if s.CloseReset {
+		_ = c.(*net.TCPConn).SetLinger(0)
+	}
+	return !s.Close && !s.CloseReset
+}
+
 // responseHead returns the status line and headers of a signed successful response.
 func responseHead(id, length string) string {
 	return "HTTP/1.1 200 OK\r\nX-Plantainwheel-Request-Id: " + id + "\r\nX-Plantainwheel-Response-Seal: s\r\n" + length + "\r\n"
--- a/internal/target/executor/answer.go
+++ b/internal/target/executor/answer.go
@@ -10,21 +10,63 @@
 	"github.com/plantainwheel/plantainwheel/platform"
 )
 
+// Defects of a response that is no answer of the target to the request.
+const (
+	// DefectProtocol means another protocol than HTTP/1.
+	DefectProtocol = "protocol"
+	// DefectStatus means a status that is not that of a final answer, for example 000, 101 or 600.
+	DefectStatus = "status"
+	// DefectID means the ID of another request, or none.
+	DefectID = "id"
+	// DefectNoSeal means a success without the target's signature.
+	DefectNoSeal = "no-seal"
+	// DefectEncoding means a success with an encoding, which the request did not allow.
+	DefectEncoding = "encoding"
+	// DefectBody means a body that ends early, or one where none is allowed.
+	DefectBody = "body"
+)
+
+// Defects lists all defects.
+var Defects = []string{DefectProtocol, DefectStatus, DefectID, DefectNoSeal, DefectEncoding, DefectBody}
+
+// findDefect returns why the header of a response is not that of an answer of the target to the job, or "" if it is. All
+// responses of the target pass it, so that nothing else on their way has to distinguish answers from other bytes.
+func findDefect(resp *http.Response, job *Job) string {
+	success := resp.StatusCode >= 200 && resp.StatusCode < 300
+	switch {
+	case resp.ProtoMajor != 1:
+		return DefectProtocol
+	case !transporter.IsFinalStatus(resp.StatusCode):
+		return DefectStatus
+	case !hasOwnID(resp, job):
+		return DefectID
+	case success && resp.Header.Get(platform.SignatureHeader) == "":
+		return DefectNoSeal
+	case success && resp.Header.Get("Content-Encoding") != "":
+		return DefectEncoding
+	case resp.StatusCode == http.StatusNoContent && declaresBody(resp):
+		return DefectBody
+	default:
+		return ""
+	}
+}
+
+// declaresBody reports whether the header says that a body follows, which net/http does not read for all statuses.
+func declaresBody(resp *http.Response) bool {
+	length := resp.Header.Get("Content-Length")
+	return len(resp.TransferEncoding) > 0 || (length != "" && length != "0")
+}
+
 // readAnswer validates the target's answer and reads its body. Bodies above transporter.MaxBufferedBytes are
 // left as streams.
-func readAnswer(resp *http.Response, job *Job, cancel context.CancelFunc) *transporter.Answer {
+func (e *Executor) readAnswer(resp *http.Response, job *Job, cancel context.CancelFunc) *transporter.Answer {
 	release := sync.OnceFunc(func() {
 		_ = resp.Body.Close()
 		cancel()
 	})
-	if !hasOwnID(resp, job) {
-		release()
-		return transporter.UnknownAnswer(ReasonInvalidAnswer)
-	}
-	success := resp.StatusCode >= 200 && resp.StatusCode < 300
-	if success && (resp.Header.Get(platform.SignatureHeader) == "" || resp.Header.Get("Content-Encoding") != "") {
+	if defect := findDefect(resp, job); defect != "" {
 		release()
-		return transporter.UnknownAnswer(ReasonInvalidAnswer)
+		return e.invalidAnswer(job, resp.StatusCode, defect)
 	}
 	length := resp.ContentLength
 	if job.Request.Method == http.MethodHead {
@@ -33,7 +75,7 @@
 	body, err := transporter.ReadBody(resp.Body, length)
 	if err != nil {
 		release()
-		return transporter.UnknownAnswer(ReasonInvalidAnswer)
+		return e.invalidAnswer(job, resp.StatusCode, DefectBody)
 	}
 	if body.Stream == nil {
 		release()
@@ -46,6 +88,14 @@
 	return &transporter.Answer{Status: resp.StatusCode, Header: resp.Header, Body: body, Until: job.Deadline.Add(answerGrace), Close: release}
 }
 
+// invalidAnswer returns the answer of a job whose response has the defect.
+func (e *Executor) invalidAnswer(job *Job, status int, defect string) *transporter.Answer {
+	if e.OnInvalidAnswer != nil {
+		e.OnInvalidAnswer(job.Request.Header.Get(platform.RequestIDHeader), status, defect)
+	}
+	return transporter.UnknownAnswer(ReasonInvalidAnswer)
+}
+
 // recordOutcome updates the failure rate. It skips outcomes that say nothing about the target's health: refusals
 // by the node itself for reasons other than ReasonUnreachable, and requests without an answer by the deadline or
 // the caller's cancellation. running is the number of requests that ran when the request began.
@@ -81,7 +131,7 @@
 
 // isOwnAnswer reports whether the answer belongs to the job's request and comes from the expected incarnation.
 func isOwnAnswer(resp *http.Response, job *Job) bool {
-	return resp.StatusCode != http.StatusMisdirectedRequest && hasOwnID(resp, job)
+	return resp.StatusCode != http.StatusMisdirectedRequest && findDefect(resp, job) == ""
 }
 
 func hasOwnID(resp *http.Response, job *Job) bool {
--- a/internal/target/executor/executor.go
+++ b/internal/target/executor/executor.go
@@ -152,6 +152,9 @@
 	// that the target leaves. OnSend, if set, is called for each request sent to the target.
 	OnStateChange func(platform.TargetState)
 	OnSend        func()
+	// OnInvalidAnswer, if set, is called for each response of the target that is no answer to its request, with the
+	// request's ID, the status of the response and its defect.
+	OnInvalidAnswer func(requestID string, status int, defect string)
 	// Guard, if set, withholds requests that crash targets.
 	Guard Guard
 	// Withhold, if set, returns why the target gets no requests at present, or "" if it does. It is called while the
@@ -254,7 +257,7 @@
 	if isOwnAnswer(resp, job) {
 		e.learn(&target, platform.DecodeTargetState(resp.Header))
 	}
-	answer := readAnswer(resp, job, cancel)
+	answer := e.readAnswer(resp, job, cancel)
 	if answer.Unknown {
 		e.recordLostConnection(transporter.ErrNoAnswer, time.Now().After(job.Deadline))
 	}
