Keep the platform's headers that a Connection header names

Clients got 200 without a signature when the Connection header of the target's answer named it: readAnswer checked the header first, and StripConnection then removed what Connection names. By PROTOCOL.md the signature is returned unchanged and the request's ID is forwarded as sent, so both are end-to-end and no Connection header can turn them into headers of one connection.

TestInvalidAnswers has two cases for it. "seal named as a header of the connection" is red without the change at the target's node and over a hop, green with it; the other one, for the ID, guards the same rule on a failure.

--- a/internal/route/transporter/answer.go
+++ b/internal/route/transporter/answer.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"strings"
 	"time"
+
+	"github.com/plantainwheel/plantainwheel/platform"
 )
 
 // MaxBufferedBytes is the size up to which a body is read in full before it is passed on, so that an error can still be
@@ -90,11 +92,14 @@
 	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Expect",
 }
 
-// StripConnection removes the hop-by-hop headers, including those named in the Connection header.
+// StripConnection removes the hop-by-hop headers, including those named in the Connection header. Headers of the platform
+// are end-to-end: a Connection header that names one is wrong.
 func StripConnection(h http.Header) {
 	for _, v := range h["Connection"] {
 		for name := range strings.SplitSeq(v, ",") {
-			h.Del(strings.TrimSpace(name))
+			if name = strings.TrimSpace(name); !platform.IsEndToEnd(name) {
+				h.Del(name)
+			}
 		}
 	}
 	for _, name := range connectionHeaders {
