Check member and cost records, and count those that cannot be used

But a record with a port out of range, 2^63-1 slots or an unknown state became a member; costs that make no sense reached the executor; and a node whose own record another writer had replaced did not write it again, because it compared the wanted record with the last one it could read, so that nodes that start later did not know it.

Records are now decoded and checked in one place each, an own record that cannot be used is written again, and each invalid one is counted and logged once a process instead of at each reading.

TestOddRecords (real nodes, entries in a page among good ones, relayed, and read by a node that starts later) was red before: the own record was not written again within 8 s, nothing was counted. TestOddMembers, TestOddCosts and FuzzDecodeMember hold the shapes of entries.

--- a/internal/fleet/tracker/costs.go
+++ b/internal/fleet/tracker/costs.go
@@ -1,6 +1,9 @@
 package tracker
 
 import (
+	"encoding/json"
+	"errors"
+	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -16,6 +19,33 @@
 	RouteCosts []RouteCosts `json:"rows"`
 }
 
+// ErrCosts is returned for a record of request costs that cannot be used.
+var ErrCosts = errors.New("unusable record of request costs")
+
+// DecodeNodeCosts decodes the record of request costs with the given key. One with numbers that make no sense is rejected.
+func DecodeNodeCosts(key string, raw []byte) (NodeCosts, error) {
+	var c NodeCosts
+	if err := json.Unmarshal(raw, &c); err != nil {
+		return NodeCosts{}, fmt.Errorf("%w: %w", ErrCosts, err)
+	}
+	if c.Node == "" || c.Node != key {
+		return NodeCosts{}, fmt.Errorf("%w: node %q", ErrCosts, c.Node)
+	}
+	if !c.isValid() {
+		return NodeCosts{}, fmt.Errorf("%w: numbers out of range", ErrCosts)
+	}
+	return c, nil
+}
+
+func (c *NodeCosts) isValid() bool {
+	for i := range c.RouteCosts {
+		if !c.RouteCosts[i].isValid() {
+			return false
+		}
+	}
+	return true
+}
+
 // Restore restores the costs that a node learned before this process started, unless they make no sense. They apply until the node reports
 // new costs, and only while its target belongs to the same service.
 func (t *Tracker) Restore(c NodeCosts) {
@@ -24,10 +54,8 @@
 	if t.restored == nil {
 		t.restored, t.restoredOf = map[string]NodeCosts{}, map[string]NodeCosts{}
 	}
-	for i := range c.RouteCosts {
-		if !c.RouteCosts[i].isValid() {
-			return
-		}
+	if !c.isValid() {
+		return
 	}
 	t.restored[c.Node] = c
 	t.restoredOf[c.Service] = c
--- a/internal/platform/watcher/costs.go
+++ b/internal/platform/watcher/costs.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"math"
 	"time"
 
@@ -54,9 +53,12 @@
 
 func (w *Watcher) applyCosts(records []platform.Record) bool {
 	for _, r := range records {
-		var c tracker.NodeCosts
-		if err := json.Unmarshal(r.Value, &c); err != nil || c.Node != r.Key {
-			w.Log.Warn().Err(err).Str("key", r.Key).Int64("offset", r.Offset).Msg("ignoring invalid request costs record")
+		if len(r.Value) == 0 {
+			continue
+		}
+		c, err := tracker.DecodeNodeCosts(r.Key, r.Value)
+		if err != nil {
+			w.skip(platform.CostTopic, &r, err)
 			continue
 		}
 		w.OnStoredCosts(c)
--- a/internal/platform/watcher/settled.go
+++ b/internal/platform/watcher/settled.go
@@ -25,7 +25,7 @@
 func (w *Watcher) applySettled(r platform.Record) {
 	var s settledRecord
 	if err := json.Unmarshal(r.Value, &s); err != nil {
-		w.Log.Warn().Err(err).Int64("offset", r.Offset).Msg("ignoring invalid record of the settled era")
+		w.skip(platform.MemberTopic, &r, err)
 		return
 	}
 	w.eras.vouch(s.Era)
--- a/internal/platform/watcher/watcher.go
+++ b/internal/platform/watcher/watcher.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -105,6 +104,7 @@
 	// membersEmpty is set if there were none then.
 	membersEmpty atomic.Bool
 	own          ownRecord
+	invalid      invalidRecords
 	// storedVersion is the version of the newest configuration in the store. Only FollowConfig uses it.
 	storedVersion uint64
 	// ownRestored is set once the members have been read after the start. Only FollowMembers uses it.
@@ -199,7 +199,7 @@
 		version, applied, err := w.Keeper.Apply(r.Value)
 		complete = err == nil
 		if err != nil {
-			w.Log.Error().Err(err).Int64("offset", r.Offset).Msg("ignoring invalid configuration")
+			w.skip(platform.ConfigTopic, &r, err)
 			continue
 		}
 		w.storedVersion = version
@@ -284,9 +284,13 @@
 		w.Tracker.RemoveMember(r.Key)
 		return
 	}
-	var m tracker.Member
-	if err := json.Unmarshal(r.Value, &m); err != nil || m.Node != r.Key {
-		w.Log.Warn().Err(err).Str("key", r.Key).Int64("offset", r.Offset).Msg("ignoring invalid member record")
+	m, err := tracker.DecodeMember(r.Key, r.Value)
+	if err != nil {
+		w.skip(platform.MemberTopic, &r, err)
+		if r.Key == w.Self {
+			// Another writer has replaced this node's record, which nodes that start later need.
+			w.own.lost()
+		}
 		return
 	}
 	if m.Node == w.Self {
