Send a request with the ID of a refused one on a new connection

Callers got 503 ("has not run") for a request that the target was running, if it had the same ID as the refused one and was sent on the same connection.

Cause: only the ID tells a late copy from an answer. Ruled out: attempts of one request (no target is tried twice), resends and health requests (new connections), requests with another ID (502, and the connection is closed), and copies on an idle connection (it is closed).

The executor now remembers the IDs of the latest refusals and sends requests with such an ID on a new connection.

--- a/internal/target/executor/answer.go
+++ b/internal/target/executor/answer.go
@@ -68,6 +68,11 @@
 		release()
 		return e.invalidAnswer(job, resp.StatusCode, defect)
 	}
+	refused := resp.Header.Get(platform.NotRunHeader) != ""
+	if refused {
+		// Before the connection can be used again.
+		e.recordRefusal(requestID(job))
+	}
 	length := resp.ContentLength
 	if job.Request.Method == http.MethodHead {
 		length = 0
@@ -80,7 +85,7 @@
 	if body.Stream == nil {
 		release()
 	}
-	if resp.Header.Get(platform.NotRunHeader) != "" {
+	if refused {
 		release()
 		return transporter.NotRunAnswer(ReasonTargetShed)
 	}
@@ -91,7 +96,7 @@
 // invalidAnswer returns the answer of a job whose response has the defect.
 func (e *Executor) invalidAnswer(job *Job, status int, defect string) *transporter.Answer {
 	if e.OnInvalidAnswer != nil {
-		e.OnInvalidAnswer(job.Request.Header.Get(platform.RequestIDHeader), status, defect)
+		e.OnInvalidAnswer(requestID(job), status, defect)
 	}
 	return transporter.UnknownAnswer(ReasonInvalidAnswer)
 }
@@ -135,9 +140,11 @@
 }
 
 func hasOwnID(resp *http.Response, job *Job) bool {
-	return resp.Header.Get(platform.RequestIDHeader) == job.Request.Header.Get(platform.RequestIDHeader)
+	return resp.Header.Get(platform.RequestIDHeader) == requestID(job)
 }
 
+func requestID(job *Job) string { return job.Request.Header.Get(platform.RequestIDHeader) }
+
 // learn records what an answer of the incarnation says about its state.
 func (e *Executor) learn(from *Target, s platform.TargetState) {
 	if e.recordState(from, s) && e.OnStateChange != nil {
--- a/internal/target/executor/crash.go
+++ b/internal/target/executor/crash.go
@@ -112,7 +112,7 @@
 	if e.Guard == nil {
 		return nil
 	}
-	sent := &sentRun{signature: job.Signature(), requestID: job.Request.Header.Get(platform.RequestIDHeader), incarnation: target.incarnation(), began: time.Now()}
+	sent := &sentRun{signature: job.Signature(), requestID: requestID(job), incarnation: target.incarnation(), began: time.Now()}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.runs.running == nil {
--- a/internal/target/executor/executor.go
+++ b/internal/target/executor/executor.go
@@ -187,6 +187,7 @@
 	late             latecounter.Counter
 	runs             runs
 	crashedAt        time.Time
+	refused          refusedIDs
 }
 
 // New returns an executor without a target.
@@ -242,12 +243,8 @@
 		return transporter.NotRunAnswer(reason)
 	}
 	ctx, cancel := context.WithDeadline(ctx, job.Deadline.Add(answerGrace))
-	maxIdle := maxIdleNonIdempotent
-	if job.Idempotent {
-		maxIdle = maxIdleIdempotent
-	}
 	sent := e.beginRun(&target, job)
-	resp, err := e.sendAndResend(ctx, &target, job, maxIdle)
+	resp, err := e.sendAndResend(ctx, &target, job, e.maxIdle(job))
 	if err != nil {
 		ctxDone := ctx.Err() != nil
 		cancel()
