Test answers that stop at each byte of their head

Tried after a report of other operators: a target stops in the middle of its answer's head and closes, and clients get a 200 with an empty or short body.

An answer without a length is complete by the protocol once its blank line has arrived, whenever its connection ends.

--- a/internal/standin/responder/responder.go
+++ b/internal/standin/responder/responder.go
@@ -156,6 +156,8 @@
 type Script struct {
 	// Raw is written as it is, but for {id}, which stands for the ID of the request.
 	Raw string
+	// Cut, if set, returns how many bytes of that are written in response to the request with the ID.
+	Cut func(id string) int
 	// Later, if set, is written once more LaterAfter after Raw, whatever has been received meanwhile.
 	Later      string
 	LaterAfter time.Duration
@@ -315,7 +317,11 @@
 // write writes a scripted response. It returns false if the connection must be closed.
 func (s *Script) write(c net.Conn, id string) bool {
 	fill := func(text string) string { return strings.ReplaceAll(text, "{id}", id) }
-	if !write(c, fill(s.Raw)) {
+	raw := fill(s.Raw)
+	if s.Cut != nil {
+		raw = raw[:s.Cut(id)]
+	}
+	if !write(c, raw) {
 		return false
 	}
 	if s.Later != "" {
