--- a/internal/caller/gateway/stop.go
+++ b/internal/caller/gateway/stop.go
@@ -26,9 +26,9 @@
 	CloseAt time.Time
 }
 
-// mayPass reports whether a request with the deadline may be passed on to a target now. streamed is set if its body is not
-// read in full yet. It answers a load that goes on until the end of the stop, because too few nodes are ready for the clients
-// to go elsewhere.
+// mayPass reports whether a request with the deadline may be passed on to a target at the time now. streamed is set if its
+// body has not been read in full. It answers a load that goes on until the end of the stop, because too few nodes are ready
+// for the clients to go elsewhere.
 func (s *Stop) mayPass(now, deadline time.Time, streamed bool) bool {
 	return (now.Before(s.AcceptUntil) && !streamed) || !deadline.Add(stopAnswerMargin).After(s.CloseAt)
 }
--- a/internal/node/attendant/attendant.go
+++ b/internal/node/attendant/attendant.go
@@ -356,7 +356,7 @@
 	start := time.Now()
 	a.Log.Info().Msg("node stopping")
 	a.ready.Store(false)
-	closeAt, acceptUntil := start.Add(timeout), start.Add(min(maxAcceptTime, timeout))
+	acceptUntil, closeAt := start.Add(min(maxAcceptTime, timeout)), start.Add(timeout)
 	for _, s := range a.servers {
 		s.lastRequests.Store(true)
 	}
--- a/internal/node/attendant/server.go
+++ b/internal/node/attendant/server.go
@@ -66,7 +66,8 @@
 	accepted chan struct{}
 	// maxCloseTime, if not 0, bounds how long a closing server waits for its connections.
 	maxCloseTime time.Duration
-	// lastRequests is set once each connection is to be closed after its next answer, and closed when all are closed.
+	// lastRequests is set once each connection is to be closed after its next answer. closed is set once no request begins any
+	// more.
 	lastRequests, closed atomic.Bool
 
 	mu sync.Mutex
--- a/internal/peer/forwarder/server.go
+++ b/internal/peer/forwarder/server.go
@@ -101,8 +101,9 @@
 // hopAnswer carries an outcome that is not an answer of the target to the other node.
 var hopAnswer = &transporter.Answer{Status: http.StatusOK}
 
-// WriteBody writes the status, the content length and the body. The status must be that of a final answer. If the body stream fails, or the client has not taken
-// all of it at a.Until, it aborts the connection, so that the client does not take the response for complete.
+// WriteBody writes the status, which must be that of a final answer, the content length and the body. If the body stream
+// fails, or the client has not taken all of it at a.Until, it aborts the connection, so that the client does not take the
+// response for complete.
 func WriteBody(w http.ResponseWriter, a *transporter.Answer) {
 	header := w.Header()
 	if _, ok := header["Date"]; !ok {
