Reject statuses of no final answer at the product's own interface

TestInvalidStatus without the change: red for 000, 099 and 600; with the 101 it did not end within 60 s. Green with it.

--- a/internal/target/dispatcher/dispatcher.go
+++ b/internal/target/dispatcher/dispatcher.go
@@ -14,6 +14,7 @@
 
 	"github.com/plantainwheel/plantainwheel/internal/node/broker"
 	"github.com/plantainwheel/plantainwheel/internal/policy/granter"
+	"github.com/plantainwheel/plantainwheel/internal/route/transporter"
 )
 
 // Headers that a target receives with each call.
@@ -95,6 +96,9 @@
 }
 
 func (d *Dispatcher) readAnswer(resp *http.Response) (granter.Answer, error) {
+	if !transporter.IsFinalStatus(resp.StatusCode) {
+		return granter.Answer{}, fmt.Errorf("%w: status %03d", broker.ErrNoAnswer, resp.StatusCode)
+	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, d.MaxBodyBytes+1))
 	if err != nil {
 		return granter.Answer{}, fmt.Errorf("%w: %w", broker.ErrNoAnswer, err)
--- a/internal/target/dispatcher/dispatcher_test.go
+++ b/internal/target/dispatcher/dispatcher_test.go
@@ -12,6 +12,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/plantainwheel/plantainwheel/internal/node/broker"
 	"github.com/plantainwheel/plantainwheel/internal/policy/granter"
@@ -145,3 +146,24 @@
 		}
 	})
 }
+
+// TestInvalidStatus guards against a status that is none of a final answer and reaches the caller as an answer, or hangs the
+// request, as the bare connection does that net/http returns for a change of protocol.
+func TestInvalidStatus(t *testing.T) {
+	for _, head := range []string{
+		"HTTP/1.1 000 Failed\r\nContent-Length: 5\r\n", "HTTP/1.1 099 Failed\r\nContent-Length: 5\r\n", "HTTP/1.1 600 Failed\r\nContent-Length: 5\r\n",
+		"HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: h2c\r\n",
+	} {
+		t.Run(strings.Fields(head)[1], func(t *testing.T) {
+			var runs atomic.Int64
+			d := &dispatcher.Dispatcher{MaxBodyBytes: maxBodyBytes}
+			defer d.Close()
+			d.SetTarget(rawTarget(t, &runs, head+"\r\nwhole"), 1)
+			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+			defer cancel()
+			_, err := d.Do(ctx, broker.Call{Method: http.MethodPost, URI: "/"}, "token")
+			assert.Assert(t, errors.Is(err, broker.ErrNoAnswer), "%v", err)
+			assert.NilError(t, ctx.Err())
+		})
+	}
+}
