--- a/internal/node/attendant/server_test.go
+++ b/internal/node/attendant/server_test.go
@@ -123,6 +123,63 @@
 	}
 }
 
+// delayedReader delays the return of each read, as a process does that is not scheduled after it has read.
+type delayedReader struct {
+	net.Conn
+	delay time.Duration
+}
+
+func (r delayedReader) Read(b []byte) (int, error) {
+	n, err := r.Conn.Read(b)
+	time.Sleep(r.delay)
+	return n, err
+}
+
+// TestCloseAnswersRequestsJustRead guards against a request on a kept connection that has just been read when the server closes
+// its idle connections, and is handled although its answer cannot be written any more.
+func TestCloseAnswersRequestsJustRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var handled atomic.Int32
+		s := newServer("test", "", http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/long" {
+				time.Sleep(4 * time.Second)
+				return
+			}
+			handled.Add(1)
+		}))
+		l := &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}
+		s.serve(l)
+		kept, conn := net.Pipe()
+		defer kept.Close()
+		l.conns <- delayedReader{conn, 300 * time.Millisecond}
+		other, conn := net.Pipe()
+		defer other.Close()
+		l.conns <- conn
+		get := func(client net.Conn, path string) error {
+			if _, err := io.WriteString(client, "GET "+path+" HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+				return err
+			}
+			resp, err := http.ReadResponse(bufio.NewReader(client), nil)
+			if err != nil {
+				return err
+			}
+			return resp.Body.Close()
+		}
+		assert.NilError(t, get(kept, "/"))
+		var group sync.WaitGroup
+		defer group.Wait()
+		group.Go(func() { assert.Check(t, get(other, "/long") == nil) })
+		// The first connection becomes idle.
+		time.Sleep(time.Second)
+		group.Go(func() {
+			time.Sleep(100 * time.Millisecond)
+			s.close(time.Now().Add(10 * time.Second))
+		})
+		assert.NilError(t, get(kept, "/"))
+		assert.Equal(t, handled.Load(), int32(2))
+	})
+}
+
 // TestCloseLeavesWaitingControlCalls guards against a stop that takes as long as the calls in which other nodes wait for
 // records of the store.
 func TestCloseLeavesWaitingControlCalls(t *testing.T) {
