Write the copy of a refusal when the next request arrives

The copy was written 60 ms after the refusal; on a busy machine the next request might come later, find the connection closed, and the test would not play its case. The stand-in now writes it when the next request has arrived on the same connection. Another ID on an idle connection is a case of its own.

--- a/internal/standin/responder/responder.go
+++ b/internal/standin/responder/responder.go
@@ -109,6 +109,8 @@
 	listener    net.Listener
 	done        sync.WaitGroup
 	conns       map[net.Conn]bool
+	// beforeNext holds what is written on a connection when the next request arrives.
+	beforeNext map[net.Conn]string
 }
 
 // Open starts to serve on a loopback port and returns the address.
@@ -158,9 +160,11 @@
 	Raw string
 	// Cut, if set, returns how many bytes of that are written in response to the request with the ID.
 	Cut func(id string) int
-	// Later, if set, is written once more LaterAfter after Raw, whatever has been received meanwhile.
+	// Later, if set, is written LaterAfter after Raw, and BeforeNext when the next request arrives on the same connection,
+	// before it runs. {id} stands for the ID of the request that Raw was written for.
 	Later      string
 	LaterAfter time.Duration
+	BeforeNext string
 	// Close closes the connection after Raw, CloseReset resets it.
 	Close, CloseReset bool
 }
@@ -243,6 +247,8 @@
 func (r *Responder) respond(c net.Conn, req *http.Request, body string) bool {
 	r.mu.Lock()
 	f, script := r.fault, r.script
+	late := r.beforeNext[c]
+	delete(r.beforeNext, c)
 	headers, serviceTime := r.headers, r.ServiceTime
 	rejected := f == Shed || f == Misdirected
 	if !rejected {
@@ -251,6 +257,7 @@
 		r.maxInFlight = max(r.maxInFlight, r.inFlight)
 	}
 	r.mu.Unlock()
+	write(c, late)
 	if !rejected {
 		time.Sleep(serviceTime)
 		r.mu.Lock()
@@ -264,7 +271,7 @@
 		return false
 	}
 	if script != nil {
-		return script.write(c, id)
+		return r.writeScript(c, script, id)
 	}
 	if f.isEndless() {
 		r.writeEndless(c, f, id)
@@ -314,13 +321,21 @@
 	}
 }
 
-// write writes a scripted response. It returns false if the connection must be closed.
-func (s *Script) write(c net.Conn, id string) bool {
+// writeScript writes a scripted response. It returns false if the connection must be closed.
+func (r *Responder) writeScript(c net.Conn, s *Script, id string) bool {
 	fill := func(text string) string { return strings.ReplaceAll(text, "{id}", id) }
 	raw := fill(s.Raw)
 	if s.Cut != nil {
 		raw = raw[:s.Cut(id)]
 	}
+	if s.BeforeNext != "" {
+		r.mu.Lock()
+		if r.beforeNext == nil {
+			r.beforeNext = map[net.Conn]string{}
+		}
+		r.beforeNext[c] = fill(s.BeforeNext)
+		r.mu.Unlock()
+	}
 	if !write(c, raw) {
 		return false
 	}
