--- a/internal/node/attendant/refusal_copy_test.go
+++ b/internal/node/attendant/refusal_copy_test.go
@@ -22,7 +22,7 @@
 		// nextID is the ID of the request after the one that is refused with the ID "first". The copy is written on the idle
 		// connection, or when the next request has arrived on it.
 		nextID string
-		idle bool
+		idle   bool
 		// statuses are those that the client may get: on a busy machine the next request uses another connection.
 		statuses []int
 	}{
