--- a/internal/node/attendant/refusal_copy_test.go
+++ b/internal/node/attendant/refusal_copy_test.go
@@ -13,8 +13,8 @@
 )
 
 // TestLateCopyOfRefusal guards against a second copy of a refusal on a kept connection that is taken for the answer to a later
-// request there: that one runs, so its client must not be told that it has not. Only a
-// request with the same ID cannot be told from the refused one by its answer.
+// request there: that one runs, so its client must not be told that it has not. The copy's ID tells it from the answer, unless
+// the later request has the same ID.
 func TestLateCopyOfRefusal(t *testing.T) {
 	const refusal = "HTTP/1.1 503 Full\r\nX-Plantainwheel-Request-Id: {id}\r\nX-Plantainwheel-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
 	for _, c := range []struct {
@@ -67,7 +67,7 @@
 	}
 }
 
-// runs returns how often the targets have run the request with the ID. A script that refuses it counts.
+// runs returns how often the targets have run the request with the ID, or refused it by a script.
 func (f *fleet) runs(id string) int {
 	n := 0
 	for _, target := range f.targets {
