Wait until both nodes know the target in the tests of spoilt answers

Trace: the first requests over the hop got no-target-left, since the entry node had not heard of the other node yet; shown in 1 of 48 runs of six processes side by side (6 requests). The check is unchanged; the test waits, as others do, until requests over the hop are served. TestInvalidAnswers had the same race.

--- a/internal/node/attendant/answer_test.go
+++ b/internal/node/attendant/answer_test.go
@@ -79,6 +79,7 @@
 func TestInvalidAnswers(t *testing.T) {
 	f := newFleet(t, 2)
 	f.announce(0, 2, "draining")
+	f.eventually("both nodes know the target", func() bool { return f.get(0, "/a/1", "outbound") == 200 && f.get(1, "/a/1", "outbound") == 200 })
 	const faulty = 1
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 3 * time.Second}
 	for _, c := range readAnswerCases(t) {
--- a/internal/node/attendant/head_test.go
+++ b/internal/node/attendant/head_test.go
@@ -22,6 +22,7 @@
 	const head = "HTTP/1.1 200 OK\r\nX-Plantainwheel-Request-Id: {id}\r\nX-Plantainwheel-Response-Seal: s\r\n"
 	f := newFleet(t, 2)
 	f.announce(0, 2, "draining")
+	f.eventually("both nodes know the target", func() bool { return f.get(0, "/a/1", "outbound") == 200 && f.get(1, "/a/1", "outbound") == 200 })
 	client := &http.Client{Timeout: 5 * time.Second}
 	for _, c := range []struct {
 		name, raw string
