--- a/internal/caller/gateway/stop.go
+++ b/internal/caller/gateway/stop.go
@@ -39,8 +39,11 @@
 // checkStop returns a refusal if the node stops and the request might not end before that.
 func (g *Gateway) checkStop(q *request) *refusal {
 	s := g.stop.Load()
+	if s == nil {
+		return nil
+	}
 	now := time.Now()
-	if s == nil || s.mayPass(now, q.deadline, q.body.Stream != nil) {
+	if s.mayPass(now, q.deadline, q.body.Stream != nil) {
 		return nil
 	}
 	// The node's next process may answer after that.
--- a/internal/node/attendant/server.go
+++ b/internal/node/attendant/server.go
@@ -182,15 +182,18 @@
 	if limit := time.Now().Add(s.maxCloseTime); s.maxCloseTime > 0 && limit.Before(deadline) {
 		deadline = limit
 	}
-	for s.inUse() && time.Now().Before(deadline) {
-		time.Sleep(shutdownPollInterval)
-	}
+	s.waitUnused(deadline)
 	s.closed.Store(true)
 	// Requests that began before are waited for. Those read after that don't begin.
+	s.waitUnused(deadline)
+	_ = s.http.Close()
+}
+
+// waitUnused waits until the server is not in use, at most until the deadline.
+func (s *server) waitUnused(deadline time.Time) {
 	for s.inUse() && time.Now().Before(deadline) {
 		time.Sleep(shutdownPollInterval)
 	}
-	_ = s.http.Close()
 }
 
 // unaccepted returns the number of connections that clients have established but the process has not accepted yet. The
--- a/internal/target/executor/answer.go
+++ b/internal/target/executor/answer.go
@@ -57,14 +57,14 @@
 	return len(resp.TransferEncoding) > 0 || (length != "" && length != "0")
 }
 
-// readAnswer validates the target's answer and reads its body. Bodies above transporter.MaxBufferedBytes are
+// readAnswer reads the body of the target's answer, whose header has the defect or none. Bodies above transporter.MaxBufferedBytes are
 // left as streams.
-func (e *Executor) readAnswer(resp *http.Response, job *Job, cancel context.CancelFunc) *transporter.Answer {
+func (e *Executor) readAnswer(resp *http.Response, job *Job, defect string, cancel context.CancelFunc) *transporter.Answer {
 	release := sync.OnceFunc(func() {
 		_ = resp.Body.Close()
 		cancel()
 	})
-	if defect := findDefect(resp, job); defect != "" {
+	if defect != "" {
 		release()
 		return e.invalidAnswer(job, resp.StatusCode, defect)
 	}
@@ -134,11 +134,6 @@
 	return e.failureRate / (1 + age)
 }
 
-// isOwnAnswer reports whether the answer belongs to the job's request and comes from the expected incarnation.
-func isOwnAnswer(resp *http.Response, job *Job) bool {
-	return resp.StatusCode != http.StatusMisdirectedRequest && findDefect(resp, job) == ""
-}
-
 func hasOwnID(resp *http.Response, job *Job) bool {
 	return resp.Header.Get(platform.RequestIDHeader) == requestID(job)
 }
--- a/internal/target/executor/executor.go
+++ b/internal/target/executor/executor.go
@@ -251,10 +251,11 @@
 		e.recordLostConnection(err, ctxDone)
 		return e.endLostRun(sent, &target, err, e.failureAnswer(err, ctxDone))
 	}
-	if isOwnAnswer(resp, job) {
+	defect := findDefect(resp, job)
+	if defect == "" && resp.StatusCode != http.StatusMisdirectedRequest {
 		e.learn(&target, platform.DecodeTargetState(resp.Header))
 	}
-	answer := e.readAnswer(resp, job, cancel)
+	answer := e.readAnswer(resp, job, defect, cancel)
 	if answer.Unknown {
 		e.recordLostConnection(transporter.ErrNoAnswer, time.Now().After(job.Deadline))
 	}
