--- a/review/_standin2/cases.go
+++ b/review/_standin2/cases.go
@@ -183,34 +183,36 @@
 	return after > 0, nil
 }
 
-// twoSlashes: a client's path begins with two slashes, on a route whose prefix is one.
-func twoSlashes(w *world, trouble bool) (bool, error) {
-	const service = "huvo11a"
-	config := desired([]string{service}, route("r-order", "/", "non_idempotent", service, 1000))
-	if err := w.open(config, service, "kafi81c"); err != nil {
+// clockBack: the time of day of a machine jumps back by 2 s while its instance goes down and up by turns, under the same id.
+func clockBack(w *world, trouble bool) (bool, error) {
+	const service, down, flap = "huvo11a", 300 * time.Millisecond, 1400 * time.Millisecond
+	config := desired([]string{service}, route("r-order", "/puka111/", "non_idempotent", service, 1000))
+	if err := w.open(config, service, service, "kafi81c"); err != nil {
+		return false, err
+	}
+	entry, leaving := w.vms[2], w.vms[0]
+	leaving.instance.work, w.vms[1].instance.work = 200*time.Millisecond, 200*time.Millisecond
+	if err := w.serves(entry, "POST", "/puka111/2f"); err != nil {
 		return false, err
 	}
-	entry := w.vms[1]
-	if err := w.serves(entry, "DELETE", "/orders/1"); err != nil {
+	if err := leaving.replaceInstance(down, 0); err != nil {
 		return false, err
 	}
-	target := "/orders/8"
+	time.Sleep(flap)
+	jump := time.Duration(0)
 	if trouble {
-		target = "//orders/8"
+		jump = -2 * time.Second
+		w.note("the time of day of %s jumps by %v", leaving.name, jump)
 	}
-	sent := map[string]string{}
-	for n := range 20 {
-		id := fmt.Sprintf("order-%d", n)
-		sent[id] = target
-		w.ask(w.vms[n%2], "DELETE", target, id, 2*time.Second)
+	if err := leaving.replaceInstance(down, jump); err != nil {
+		return false, err
 	}
-	changed := 0
-	for _, a := range w.arrivals() {
-		if want, ok := sent[a.id]; ok && a.uri != want {
-			w.note("id=%s was sent with %s and run with %s", a.id, want, a.uri)
-			changed++
-		}
+	disturbed := time.Now()
+	time.Sleep(beatPeriod)
+	leaving.instance.stop()
+	if !leaving.instance.drain() {
+		return false, errNoAck
 	}
-	w.note("UNASKED: %d of %d requests were run with another path", changed, len(sent))
-	return changed > 0, nil
+	w.note("the departure of %s is acknowledged", leaving.instance.id)
+	return w.countAfterDeparture(entry, leaving, time.Now(), disturbed)
 }
--- a/review/_standin2/main.go
+++ b/review/_standin2/main.go
@@ -24,7 +24,7 @@
 	"forged-beat": forgedBeat,
 	"late-beat":   lateBeat,
 	"resend":      resend,
-	"two-slashes": twoSlashes,
+	"clock-back":  clockBack,
 }
 
 func main() {
--- a/review/_standin2/world.go
+++ b/review/_standin2/world.go
@@ -121,12 +121,9 @@
 		v := &vm{w: w, name: fmt.Sprintf("sidecar-%d", i+1), ip: fmt.Sprintf("%s.%d", prefix, 10+i), zone: "zone-a", service: service}
 		w.vms = append(w.vms, v)
 		v.instance = newInstance(w, v, fmt.Sprintf("i-%d%s", i+1, service))
-		appListener, err := net.Listen("tcp", v.address(appPort))
-		if err != nil {
+		if err := v.serveInstance(); err != nil {
 			return err
 		}
-		v.app = &http.Server{Handler: v.instance, ReadHeaderTimeout: 5 * time.Second}
-		go func() { _ = v.app.Serve(appListener) }()
 		if err := v.writeSettings(l.Addr().String()); err != nil {
 			return err
 		}
@@ -145,6 +142,36 @@
 	return nil
 }
 
+// serveInstance opens the instance's address.
+func (v *vm) serveInstance() error {
+	l, err := net.Listen("tcp", v.address(appPort))
+	if err != nil {
+		return err
+	}
+	app := &http.Server{Handler: v.instance, ReadHeaderTimeout: 5 * time.Second}
+	v.app = app
+	go func() { _ = app.Serve(l) }()
+	return nil
+}
+
+// replaceInstance crashes the instance and starts it again under the same id. jump is how far the machine's time of day
+// is off then.
+func (v *vm) replaceInstance(down, jump time.Duration) error {
+	old := v.instance
+	old.stop()
+	_ = v.app.Close()
+	v.w.note("%s crashes", old.id)
+	time.Sleep(down)
+	v.instance = newInstance(v.w, v, old.id)
+	v.instance.born, v.instance.work = time.Now().Add(jump).UnixMilli(), old.work
+	if err := v.serveInstance(); err != nil {
+		return err
+	}
+	v.w.note("%s starts again, born %d", old.id, v.instance.born)
+	go v.instance.beat()
+	return nil
+}
+
 // freePrefix returns the first three bytes of loopback addresses whose ports are free.
 func freePrefix(n int) (string, error) {
 	for try := range 100 {
