Keep the departure of a target that the process does not know

Cause: a deregistration names only an ID. Deregister applied it to the known incarnation only, the handler answered 200 all the same, and the late heartbeat was that of a new target. On related paths, the stored record of an earlier process had no effect once a target had announced itself, and could be replaced before it was read; a deregistration was lost too if its incarnation had not announced itself yet. Ruled out: other nodes sending by an earlier record, since the node beside the target took the requests.

Change: internal/policy/registrar keeps deregistrations by ID and applies them to all incarnations that had started by then, whenever these announce themselves. The member record names the time, RestoreTarget works before and after the first announcement, and PublishOwn begins once the members have been read. An incarnation that starts later is accepted at once, also after a jump of the clock.

--- a/internal/fleet/tracker/member.go
+++ b/internal/fleet/tracker/member.go
@@ -34,6 +34,8 @@
 		return fmt.Errorf("%d slots", m.Slots)
 	case m.StartedAtMs < 0:
 		return fmt.Errorf("started at %d ms", m.StartedAtMs)
+	case m.DepartedAtMs < 0:
+		return fmt.Errorf("departed at %d ms", m.DepartedAtMs)
 	}
 	switch m.State {
 	case Ready, Draining, Gone, Stopping, "":
--- a/internal/fleet/tracker/tracker.go
+++ b/internal/fleet/tracker/tracker.go
@@ -49,6 +49,9 @@
 	RecognisesCopies bool `json:"recognises-copies,omitempty"`
 	// Version is the version of the target's software, if known.
 	Version string `json:"version,omitempty"`
+	// DepartedAtMs is the time of day at which a target that is gone has deregistered, in milliseconds since the Unix epoch.
+	// Nodes of earlier versions leave it out.
+	DepartedAtMs int64 `json:"departed-at,omitempty"`
 }
 
 const (
--- a/internal/node/attendant/attendant.go
+++ b/internal/node/attendant/attendant.go
@@ -337,12 +337,17 @@
 	a.targets.SetMaxIdle(executor.MaxConnections(target.Slots, maxConns, a.Settings.MemoryMB))
 }
 
-// restoreTarget restores the target's state from the member record of an earlier process of this node.
+// restoreTarget restores the target's state from the member record of an earlier process of this node. The target may have
+// announced itself before the record was read.
 func (a *Attendant) restoreTarget(m tracker.Member) {
-	a.executor.RestoreTarget(executor.Target{
-		ID: m.Target, Service: m.Service, StartedAtMs: m.StartedAtMs, Slots: m.Slots,
+	changed := a.executor.RestoreTarget(executor.Target{
+		ID: m.Target, Service: m.Service, StartedAtMs: m.StartedAtMs, Slots: m.Slots, DepartedAtMs: m.DepartedAtMs,
 		Draining: m.State == tracker.Draining, Gone: m.State == tracker.Gone,
 	})
+	if changed {
+		a.Log.Info().Str("target", m.Target).Str("state", string(m.State)).Msg("departure of the target restored")
+		a.publish()
+	}
 }
 
 // isReady reports whether clients should send requests to this node. A node without a recently confirmed
--- a/internal/node/attendant/report.go
+++ b/internal/node/attendant/report.go
@@ -236,6 +236,7 @@
 		StartedAtMs:    t.StartedAtMs,
 		Slots:          t.Slots,
 		Version:        t.Version,
+		DepartedAtMs:   t.DepartedAtMs,
 		State:          tracker.Ready,
 		WarmUpEndMs:    t.WarmUpEnd.UnixMilli(),
 		TakesBatches:   true,
--- a/internal/node/attendant/server.go
+++ b/internal/node/attendant/server.go
@@ -314,8 +314,9 @@
 
 // handleDeregister handles the deregistration of the target.
 func (a *Attendant) handleDeregister(w http.ResponseWriter, r *http.Request) {
-	if a.executor.Deregister(r.PathValue("id")) {
-		a.Log.Info().Str("target", r.PathValue("id")).Msg("target deregistered")
+	id, known := r.PathValue("id"), a.executor.Target().ID
+	if a.executor.Deregister(id) {
+		a.Log.Info().Str("target", id).Bool("known", known == id).Msg("target deregistered")
 		a.publishTarget(true)
 	}
 	acknowledge(w)
--- a/internal/platform/watcher/publish.go
+++ b/internal/platform/watcher/publish.go
@@ -113,8 +113,15 @@
 	return done
 }
 
-// PublishOwn writes the member record of this node whenever it differs from the stored one, until ctx ends.
+// PublishOwn writes the member record of this node whenever it differs from the stored one, until ctx ends. It begins once the
+// members have been read: the record of an earlier process may tell of a departure, and must not be replaced unread.
 func (w *Watcher) PublishOwn(ctx context.Context) {
+	w.initialize()
+	select {
+	case <-ctx.Done():
+		return
+	case <-w.membersRead:
+	}
 	wake := w.own.wakeChannel()
 	for {
 		pause := readBackTimeout
--- a/internal/platform/watcher/restore_test.go
+++ b/internal/platform/watcher/restore_test.go
@@ -253,3 +253,30 @@
 	useEarlier.Store(false)
 	f.eventually("configuration confirmed again", func() bool { return f.keeper.Age(timekeeper.SinceBoot()) < 300*time.Millisecond })
 }
+
+// TestOwnRecordReadBeforeReplaced guards against a departure that an earlier process of the node has stored and that is
+// overwritten, because the target announces itself while the store answers reads slowly.
+func TestOwnRecordReadBeforeReplaced(t *testing.T) {
+	store := &storer.Store{}
+	raw, err := json.Marshal(tracker.Member{Node: "own", Target: "i-1", State: tracker.Gone})
+	assert.NilError(t, err)
+	store.Put(platform.MemberTopic, "own", raw)
+	f := startBehind(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/-/log-newest" {
+			time.Sleep(500 * time.Millisecond)
+		}
+		store.ServeHTTP(w, r)
+	}))
+	published := f.watcher.Publish(tracker.Member{Node: "own", Target: "i-1", State: tracker.Ready})
+	select {
+	case m := <-f.ownMember:
+		assert.Equal(t, m.State, tracker.Gone)
+	case <-time.After(2 * time.Second):
+		t.Fatal("the record was replaced before it was read")
+	}
+	select {
+	case <-published:
+	case <-time.After(2 * time.Second):
+		t.Fatal("the node's own record is not written")
+	}
+}
--- a/internal/target/executor/executor.go
+++ b/internal/target/executor/executor.go
@@ -16,6 +16,7 @@
 	"github.com/plantainwheel/plantainwheel/internal/policy/pacer"
 	"github.com/plantainwheel/plantainwheel/internal/policy/quarantiner"
 	"github.com/plantainwheel/plantainwheel/internal/policy/queuer"
+	"github.com/plantainwheel/plantainwheel/internal/policy/registrar"
 	"github.com/plantainwheel/plantainwheel/internal/policy/regulator"
 	"github.com/plantainwheel/plantainwheel/internal/policy/retrier"
 	"github.com/plantainwheel/plantainwheel/internal/policy/warmer"
@@ -167,6 +168,7 @@
 
 	mu               sync.Mutex
 	target           Target
+	departures       registrar.Registrar
 	state            platform.TargetState
 	stopping         bool
 	unreachableUntil time.Time
--- a/internal/target/executor/target.go
+++ b/internal/target/executor/target.go
@@ -3,8 +3,10 @@
 import (
 	"time"
 
+	"github.com/plantainwheel/plantainwheel/internal/node/timekeeper"
 	"github.com/plantainwheel/plantainwheel/internal/policy/estimator"
 	"github.com/plantainwheel/plantainwheel/internal/policy/pacer"
+	"github.com/plantainwheel/plantainwheel/internal/policy/registrar"
 	"github.com/plantainwheel/plantainwheel/platform"
 )
 
@@ -23,6 +25,9 @@
 	Draining bool
 	// Gone is set when the target has deregistered. The same incarnation does not return to service.
 	Gone bool
+	// DepartedAtMs is the time of day of the deregistration in milliseconds since the Unix epoch, or 0 if the target has not
+	// deregistered.
+	DepartedAtMs int64
 	// WarmUpEnd is the time at which the target's warm-up ends.
 	WarmUpEnd time.Time
 }
@@ -44,9 +49,12 @@
 		ID: a.ID, Service: a.Service, Version: a.Version, Address: a.Address, StartedAtMs: a.StartedAtMs, Sequence: a.Sequence, Slots: a.Slots,
 		// A target that has announced draining does not return to service in the same incarnation.
 		Draining:  a.Draining || (!newIncarnation && old.Draining),
-		Gone:      !newIncarnation && old.Gone,
 		WarmUpEnd: now.Add(a.WarmUp),
 	}
+	if !newIncarnation {
+		e.target.Gone, e.target.DepartedAtMs = old.Gone, old.DepartedAtMs
+	}
+	e.applyDepartures(now)
 	coldChanged := e.recordAnnouncedWarmUp(now, &a, newIncarnation)
 	if newIncarnation {
 		ended = e.collectCrash(&old)
@@ -76,28 +84,70 @@
 	}
 }
 
-// Deregister marks the target with this ID as gone. It reports whether this changed the state.
+// Deregister records that the target with this ID has left: each incarnation of it that has started by now. It reports
+// whether other nodes must be informed. The incarnation may announce itself only later, so a departure is also kept if the
+// target is unknown.
 func (e *Executor) Deregister(id string) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	now := time.Now()
+	e.departures.Record(id, moment(now))
+	if e.target.ID == "" {
+		e.target.ID = id
+	}
 	if e.target.ID != id || e.target.Gone {
 		return false
 	}
-	e.target.Gone = true
-	e.refuseWaitingIfLeaving(time.Now())
+	e.target.Gone, e.target.DepartedAtMs = true, now.UnixMilli()
+	e.refuseWaitingIfLeaving(now)
 	return true
 }
 
-// RestoreTarget restores the target's draining or gone state from an earlier process of this node. It has no
-// effect once a target is known.
-func (e *Executor) RestoreTarget(t Target) {
+// RestoreTarget applies the member record of an earlier process of this node, which may be read before or after the first
+// announcement. Only departures are restored. It reports whether the target that has announced itself turns out to leave.
+func (e *Executor) RestoreTarget(t Target) bool {
+	if !t.Draining && !t.Gone {
+		return false
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.target.ID == "" && (t.Draining || t.Gone) {
+	now := time.Now()
+	if t.Gone {
+		e.departures.Record(t.ID, restoredMoment(now, max(t.DepartedAtMs, t.StartedAtMs)))
+	}
+	old := e.target
+	switch {
+	case old.ID == "" || t.StartedAtMs > old.StartedAtMs:
+		// An announcement of an earlier incarnation may have arrived late.
 		e.target = t
+	case t.ID == old.ID && t.StartedAtMs == old.StartedAtMs:
+		e.target.Draining = old.Draining || t.Draining
+		e.target.Gone, e.target.DepartedAtMs = old.Gone || t.Gone, max(old.DepartedAtMs, t.DepartedAtMs)
+	}
+	e.applyDepartures(now)
+	e.refuseWaitingIfLeaving(now)
+	return old.ID != "" && e.target != old
+}
+
+// applyDepartures marks the target as gone if its incarnation has deregistered. The caller holds the mutex.
+func (e *Executor) applyDepartures(now time.Time) {
+	if at, departed := e.departures.Departure(e.target.ID, e.target.StartedAtMs, moment(now)); departed && !e.target.Gone {
+		e.target.Gone, e.target.DepartedAtMs = true, at.WallMs
 	}
 }
 
+// moment reads the clock that does not jump at the time of day now.
+func moment(now time.Time) registrar.Moment {
+	return registrar.Moment{WallMs: now.UnixMilli(), SinceBoot: timekeeper.SinceBoot()}
+}
+
+// restoredMoment returns the moment of an earlier time of day in milliseconds since the Unix epoch, provided that the clock
+// has not jumped since.
+func restoredMoment(now time.Time, wallMs int64) registrar.Moment {
+	m := moment(now)
+	return registrar.Moment{WallMs: wallMs, SinceBoot: m.SinceBoot - time.Duration(m.WallMs-wallMs)*time.Millisecond}
+}
+
 // refuseWaitingIfLeaving refuses the queued jobs of a leaving target, because other targets can still run them.
 func (e *Executor) refuseWaitingIfLeaving(now time.Time) {
 	if !e.target.Draining && !e.target.Gone {
