Ask before each send whether the target may get the request

Cause: the question was asked once, when the request got its slot. A resend asked only whether the target was withheld, and a first send after a long dial only for the pace of a cold target. On the same paths, requests were sent with next to no time left, and targets and other nodes were told the time that had been left before the dial. Ruled out: the entry node's placements, which ask the tracker each time, and copies between nodes, which are recognised by their ID.

Change: sending.check is asked before each connection is chosen and right before the first byte, and the deadline is written at that moment, also between nodes. What has not been sent is answered as not run with its reason, what has been sent before as one that may have run. OnSend is called when a request is sent, so that target_requests_sent_total leaves out withheld ones.

--- a/internal/peer/forwarder/forwarder.go
+++ b/internal/peer/forwarder/forwarder.go
@@ -94,18 +94,26 @@
 		id.id = newCallID()
 	}
 	hop := packRequestHop(job)
-	setRequestHop(job, hop, id)
 	ctx, cancel := context.WithDeadline(ctx, job.Deadline.Add(answerGrace))
+	job.Request.BeforeSend = func() bool {
+		if ctx.Err() != nil || !time.Now().Before(job.Deadline) {
+			return false
+		}
+		// A connection may take long to open, and the other node counts the deadline from now on.
+		setRequestHop(job, hop, id)
+		return true
+	}
 	sentAt := time.Now()
 	resp, _, err := f.Pool.Send(ctx, address, &job.Request, maxReuseIdle)
 	if err == nil {
 		f.recordRoundTrip(node, resp, time.Since(sentAt))
 	}
 	switch {
-	case err == nil || ctx.Err() != nil:
+	case err == nil || ctx.Err() != nil || errors.Is(err, transporter.ErrWithheld):
 	case errors.Is(err, transporter.ErrNotSent) && job.Request.Body.Repeatable():
 		// The other node may have closed the idle connection: retry once on a new connection.
 		f.Pool.CloseIdle(address)
+		job.Request.Header = job.Request.Header.Clone()
 		resp, _, err = f.Pool.Send(ctx, address, &job.Request, 0)
 	case errors.Is(err, transporter.ErrNoAnswer):
 		// Idle connections that are as old are probably lost as well.
@@ -115,7 +123,6 @@
 		}
 		id.process = process
 		job.Request.Header = job.Request.Header.Clone()
-		setRequestHop(job, hop, id)
 		if again, _, errAgain := f.Pool.Send(ctx, address, &job.Request, 0); errAgain == nil {
 			resp, err = again, nil
 		}
@@ -145,6 +152,8 @@
 // merely timed out.
 func (f *Forwarder) answerForError(node string, err error, timedOut bool) *transporter.Answer {
 	switch {
+	case errors.Is(err, transporter.ErrWithheld):
+		return transporter.NotRunAnswer(executor.ReasonDeadlinePassed)
 	case errors.Is(err, transporter.ErrNotSent):
 		if !timedOut {
 			f.LoadTracker.MarkUnreachable(node)
--- a/internal/target/executor/cold.go
+++ b/internal/target/executor/cold.go
@@ -49,32 +49,6 @@
 	}
 }
 
-// gate lets the job be sent only within the pace of a cold target. The pace is checked when the connection is established,
-// because the target may have been restarted since the job got its slot. The returned function ends the job's reservation.
-func (e *Executor) gate(job *Job) (release func()) {
-	if e.ColdTerms == nil {
-		return func() {}
-	}
-	reserved := true
-	end := func() {
-		if reserved {
-			e.warmer.Release()
-			reserved = false
-		}
-	}
-	job.Request.BeforeSend = func() bool {
-		e.mu.Lock()
-		defer e.mu.Unlock()
-		end()
-		return e.warmer.Take(time.Now())
-	}
-	return func() {
-		e.mu.Lock()
-		defer e.mu.Unlock()
-		end()
-	}
-}
-
 // updateColdTerms applies the terms of the configuration in force to the target.
 func (e *Executor) updateColdTerms(now time.Time) {
 	if e.ColdTerms == nil || e.target.ID == "" {
--- a/internal/target/executor/executor.go
+++ b/internal/target/executor/executor.go
@@ -7,7 +7,6 @@
 	"context"
 	"errors"
 	"net/http"
-	"strconv"
 	"sync"
 	"time"
 
@@ -150,7 +149,7 @@
 type Executor struct {
 	Pool *transporter.Pool
 	// OnStateChange, if set, is called when the target's answers name another limit, lift it, or say for the first time
-	// that the target leaves. OnSend, if set, is called for each request sent to the target.
+	// that the target leaves. OnSend, if set, is called right before a request is sent to the target, while the mutex is held.
 	OnStateChange func(platform.TargetState)
 	OnSend        func()
 	// OnInvalidAnswer, if set, is called for each response of the target that is no answer to its request, with the
@@ -235,78 +234,35 @@
 
 // run sends the job to the target.
 func (e *Executor) run(ctx context.Context, job *Job) *transporter.Answer {
-	defer e.gate(job)()
-	remaining := time.Until(job.Deadline)
-	if remaining < minRemainingTime {
-		return transporter.NotRunAnswer(ReasonDeadlinePassed)
-	}
-	target, reason := e.prepare(job, remaining)
+	ctx, cancel := context.WithDeadline(ctx, job.Deadline.Add(answerGrace))
+	s, reason := e.newSending(ctx, job)
+	defer s.end()
 	if reason != "" {
+		cancel()
 		return transporter.NotRunAnswer(reason)
 	}
-	ctx, cancel := context.WithDeadline(ctx, job.Deadline.Add(answerGrace))
-	sent := e.beginRun(&target, job)
-	resp, err := e.sendAndResend(ctx, &target, job, e.maxIdle(job))
+	sent := e.beginRun(&s.target, job)
+	resp, err := s.sendAndResend(ctx, e.maxIdle(job))
 	if err != nil {
 		ctxDone := ctx.Err() != nil
 		cancel()
 		e.recordLostConnection(err, ctxDone)
-		return e.endLostRun(sent, &target, err, e.failureAnswer(err, ctxDone))
+		return e.endLostRun(sent, &s.target, err, e.failureAnswer(err, ctxDone, s.withheld))
 	}
 	defect := findDefect(resp, job)
 	if defect == "" && resp.StatusCode != http.StatusMisdirectedRequest {
-		e.learn(&target, platform.DecodeTargetState(resp.Header))
+		e.learn(&s.target, platform.DecodeTargetState(resp.Header))
 	}
 	answer := e.readAnswer(resp, job, defect, cancel)
 	if answer.Unknown {
 		e.recordLostConnection(transporter.ErrNoAnswer, time.Now().After(job.Deadline))
 	}
-	return e.endRun(sent, &target, answer)
-}
-
-// sendAndResend sends the job, and once more if its reused connection turned out to be closed.
-func (e *Executor) sendAndResend(ctx context.Context, target *Target, job *Job, maxIdle time.Duration) (*http.Response, error) {
-	resp, reused, err := e.send(ctx, target, job, maxIdle)
-	if err == nil || !reused || ctx.Err() != nil || errors.Is(err, transporter.ErrWithheld) || !e.canResend(job, err) {
-		return resp, err
-	}
-	e.recordLostConnection(err, false)
-	resp, _, again := e.send(ctx, target, job, 0)
-	if errors.Is(again, transporter.ErrNotSent) && !errors.Is(err, transporter.ErrNotSent) {
-		// The target may have run the request when it was sent first.
-		if ctx.Err() == nil && !errors.Is(again, transporter.ErrWithheld) {
-			e.markUnreachable()
-		}
-		return nil, err
-	}
-	return resp, again
-}
-
-// send sends the job once.
-func (e *Executor) send(ctx context.Context, target *Target, job *Job, maxIdle time.Duration) (*http.Response, bool, error) {
-	if e.OnSend != nil {
-		e.OnSend()
-	}
-	return e.Pool.Send(ctx, target.Address, &job.Request, maxIdle)
-}
-
-// prepare sets the headers that the target expects from its node, and returns the target. It checks again whether
-// the target accepts requests, because the target may have left while the job was queued.
-func (e *Executor) prepare(job *Job, remaining time.Duration) (Target, string) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if reason := e.refusalReason(time.Now(), job.ExpectedIncarnation); reason != "" {
-		return Target{}, reason
-	}
-	e.resendBudget.RecordAttempt()
-	job.Request.Header.Set(platform.ExpectIncarnationHeader, e.target.ID)
-	job.Request.Header.Set(platform.DeadlineHeader, strconv.FormatInt(remaining.Milliseconds(), 10))
-	return e.target, ""
+	return e.endRun(sent, &s.target, answer)
 }
 
 // canResend reports whether a request whose reused connection failed may be sent again.
 func (e *Executor) canResend(job *Job, err error) bool {
-	if !job.Request.Body.Repeatable() || e.withheld() != "" {
+	if !job.Request.Body.Repeatable() {
 		return false
 	}
 	if errors.Is(err, transporter.ErrNotSent) {
@@ -322,10 +278,10 @@
 }
 
 // failureAnswer returns the answer for a failed send. ctxDone is true if the deadline had passed or the caller
-// had cancelled.
-func (e *Executor) failureAnswer(err error, ctxDone bool) *transporter.Answer {
+// had cancelled, and withheld is why the job was not sent, if it was withheld.
+func (e *Executor) failureAnswer(err error, ctxDone bool, withheld string) *transporter.Answer {
 	if errors.Is(err, transporter.ErrWithheld) {
-		return transporter.NotRunAnswer(ReasonCold)
+		return transporter.NotRunAnswer(withheld)
 	}
 	if errors.Is(err, transporter.ErrNotSent) {
 		if !ctxDone {
--- a/internal/target/executor/executor_test.go
+++ b/internal/target/executor/executor_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -31,6 +32,8 @@
 	target       *responder.Responder
 	executor     *executor.Executor
 	announcement platform.Announcement
+	// withhold makes withholdReason return a reason.
+	withhold atomic.Bool
 }
 
 func newFixture(t *testing.T, slots int, serviceTime time.Duration) *fixture {
--- a/internal/target/executor/slot.go
+++ b/internal/target/executor/slot.go
@@ -73,13 +73,11 @@
 
 // refusalReason returns why the target cannot accept requests for the expected incarnation, or "" if it can.
 func (e *Executor) refusalReason(now time.Time, expect string) string {
-	if reason := e.withheld(); reason != "" {
+	if reason := e.leavingReason(&e.target); reason != "" {
 		return reason
 	}
 	switch {
-	case e.target.ID == "" || e.target.Gone:
-		return ReasonNoTarget
-	case e.target.Draining || e.stopping:
+	case e.stopping:
 		return ReasonDraining
 	case expect != "" && expect != e.target.ID:
 		return ReasonOtherIncarnation
@@ -90,6 +88,23 @@
 	}
 }
 
+// leavingReason returns why the incarnation must not get any requests, or "" if it may.
+func (e *Executor) leavingReason(of *Target) string {
+	if reason := e.withheld(); reason != "" {
+		return reason
+	}
+	switch {
+	case e.target.ID == "" || e.target.Gone:
+		return ReasonNoTarget
+	case of.incarnation() != e.target.incarnation():
+		return ReasonOtherIncarnation
+	case e.target.Draining:
+		return ReasonDraining
+	default:
+		return ""
+	}
+}
+
 // begin records that a job of the route has got a slot.
 func (e *Executor) begin(now time.Time, route string, root Root) {
 	e.pacer.Take(now)
