Bound the age of the configuration over the whole chain of its sources

Cause: a node asked up to three neighbours one after the other and then the store, each step with a time limit of its own and none derived from config_apply_ms. A neighbour that had lost the store went on answering "nothing new" for up to 1.6 s, a silent one cost 1.1 s. Ruled out: reverted versions and late application, since the nodes held the old version until their next read of the store.

Change: the elector goes by the age of the latest proof. At 0.75 of config_apply_ms the question is given up for the next neighbour, which reads the store once for all that ask; at 0.825 the node reads the store itself. A neighbour answers when its read has ended. Silent nodes do not count towards the three after which a node reads the store for good. A clock can be set in the watcher, for tests in simulated time.

--- a/internal/node/attendant/attendant.go
+++ b/internal/node/attendant/attendant.go
@@ -175,7 +175,7 @@
 		Store:      &watcher.CountingStore{Store: platform.NewStore(cfg.StoreAddress), Metrics: a.Metrics},
 		Neighbours: distributor.NewClient(timekeeper.SinceBoot), Copy: a.copy, Metrics: a.Metrics,
 		MaxConfigAge: a.maxNeighbourAge(), Evacuations: a.evacuations, Keeper: a.keeper, Tracker: a.tracker,
-		Log: a.Log, Self: cfg.Node, ConfigWait: configPollTimeout, OnOwnMember: a.restoreTarget,
+		Log: a.Log, Self: cfg.Node, ConfigWait: configPollTimeout, ConfigApply: cfg.Bounds.ConfigApply, OnOwnMember: a.restoreTarget,
 		SettlePeriod: cfg.Bounds.ConfigApply, MaxSettlePeriod: cfg.Bounds.KeyRevocation,
 		OwnCosts: a.costRecord, OnStoredCosts: a.restoreCosts, OnEra: func() { notify(wake) },
 		Quarantine: a.isolator,
--- a/internal/peer/distributor/copy.go
+++ b/internal/peer/distributor/copy.go
@@ -129,17 +129,19 @@
 	t.changed = make(chan struct{})
 }
 
-// Read answers a question that was received at the given time. It returns as soon as there is a record, or once Wait has
-// passed. It returns ErrStale or ErrBehind if the copy cannot answer by then.
+// Read answers a question that was received at the given time. It returns as soon as there is a record or a later read of
+// the store has proven that there is none, or once Wait has passed. It returns ErrStale or ErrBehind if the copy cannot
+// answer by then.
 func (c *Copy) Read(ctx context.Context, receivedAt time.Duration, q Question) (Reading, error) {
 	ctx, cancel := context.WithTimeout(ctx, q.Wait)
 	defer cancel()
 	if c.OnQuestion != nil && c.OnQuestion(q.Topic, !c.isRecent(receivedAt, q)) {
 		c.clearFailure(q.Topic)
 	}
+	known := c.provenAt(q.Topic)
 	for {
 		r, done, changed, err := c.read(receivedAt, q)
-		if done || ctx.Err() != nil {
+		if done || (err == nil && r.ProvenAt > known) || ctx.Err() != nil {
 			return r, err
 		}
 		select {
@@ -160,6 +162,13 @@
 	return t.known && t.provenAt >= receivedAt-q.MaxAge
 }
 
+// provenAt returns the time of the latest proof of the topic.
+func (c *Copy) provenAt(name string) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.topic(name).provenAt
+}
+
 func (c *Copy) clearFailure(name string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/peer/distributor/distributor_test.go
+++ b/internal/peer/distributor/distributor_test.go
@@ -136,6 +136,27 @@
 	}
 }
 
+// TestAnswersWithNewerProof guards against nodes that learn of a newer proof only when their question has waited to its end,
+// and whose records are then older than those of the node that they ask.
+func TestAnswersWithNewerProof(t *testing.T) {
+	copied := newCopy(9 * time.Second)
+	asked := make(chan bool, 1)
+	copied.OnQuestion = func(_ string, stale bool) bool {
+		asked <- stale
+		return true
+	}
+	go func() {
+		assert.Check(t, !<-asked)
+		copied.Store(topic, 4, reading(1, 4, 10*time.Second))
+	}()
+	began := time.Now()
+	r, err := copied.Read(t.Context(), 10*time.Second, distributor.Question{Topic: topic, Era: 1, From: 4, MaxAge: time.Minute, Wait: 5 * time.Second})
+	assert.NilError(t, err)
+	assert.Equal(t, r.ProvenAt, 10*time.Second)
+	assert.Equal(t, len(r.Records), 0)
+	assert.Assert(t, time.Since(began) < time.Second)
+}
+
 // TestAnswersAtOnceWithoutStore checks that a node that cannot read the store does not keep the others waiting, also if
 // it learns that only while they wait, and that one that has not tried again yet does so first.
 func TestAnswersAtOnceWithoutStore(t *testing.T) {
--- a/internal/platform/watcher/eras.go
+++ b/internal/platform/watcher/eras.go
@@ -5,7 +5,6 @@
 	"sync"
 	"time"
 
-	"github.com/plantainwheel/plantainwheel/internal/node/timekeeper"
 	"github.com/plantainwheel/plantainwheel/internal/policy/settler"
 	"github.com/plantainwheel/plantainwheel/platform"
 )
@@ -13,6 +12,7 @@
 // eras tracks the eras of the store. All topics share it, since they learn of a restore at different times. It is safe
 // for concurrent use. No other lock is acquired while its mutex is held.
 type eras struct {
+	now     func() time.Duration
 	mu      sync.Mutex
 	settler settler.Settler
 	latest  platform.Era
@@ -21,8 +21,8 @@
 	end   context.CancelFunc
 }
 
-func newEras(period, maxPeriod time.Duration) *eras {
-	e := &eras{latest: platform.NoEra, settler: settler.Settler{Period: period, MaxPeriod: maxPeriod}}
+func newEras(now func() time.Duration, period, maxPeriod time.Duration) *eras {
+	e := &eras{now: now, latest: platform.NoEra, settler: settler.Settler{Period: period, MaxPeriod: maxPeriod}}
 	e.ended, e.end = context.WithCancel(context.Background())
 	return e
 }
@@ -34,7 +34,7 @@
 	if era <= e.latest {
 		return era == e.latest
 	}
-	e.settler.Observe(timekeeper.SinceBoot(), int64(era))
+	e.settler.Observe(e.now(), int64(era))
 	e.latest = era
 	e.end()
 	e.ended, e.end = context.WithCancel(context.Background())
@@ -52,7 +52,7 @@
 func (e *eras) vouch(era platform.Era) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.settler.Vouch(timekeeper.SinceBoot(), int64(era))
+	e.settler.Vouch(e.now(), int64(era))
 }
 
 func (e *eras) isVouched() bool {
@@ -79,5 +79,5 @@
 func (e *eras) remaining() time.Duration {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.settler.Remaining(timekeeper.SinceBoot())
+	return e.settler.Remaining(e.now())
 }
--- a/internal/platform/watcher/evacuations.go
+++ b/internal/platform/watcher/evacuations.go
@@ -3,7 +3,6 @@
 import (
 	"strings"
 
-	"github.com/plantainwheel/plantainwheel/internal/node/timekeeper"
 	"github.com/plantainwheel/plantainwheel/internal/policy/evacuator"
 	"github.com/plantainwheel/plantainwheel/platform"
 )
@@ -16,6 +15,6 @@
 			continue
 		}
 		e := evacuator.Evacuation{DataCentre: dataCentre, Offset: r.Offset}
-		w.Evacuations.Apply(timekeeper.SinceBoot(), e, len(r.Value) > 0)
+		w.Evacuations.Apply(w.now(), e, len(r.Value) > 0)
 	}
 }
--- a/internal/platform/watcher/source.go
+++ b/internal/platform/watcher/source.go
@@ -10,7 +10,6 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/phuslu/log"
 	"github.com/plantainwheel/plantainwheel/internal/fleet/tracker"
-	"github.com/plantainwheel/plantainwheel/internal/node/timekeeper"
 	"github.com/plantainwheel/plantainwheel/internal/peer/distributor"
 	"github.com/plantainwheel/plantainwheel/internal/policy/elector"
 )
@@ -28,6 +27,10 @@
 type source struct {
 	name    string
 	address string
+	// until, if not 0, is when a read from another node is given up.
+	until time.Duration
+	// overdue is set if the latest proof has reached its maximum age.
+	overdue bool
 }
 
 func (s source) isStore() bool { return s.name == elector.Store }
@@ -35,6 +38,7 @@
 // sources chooses the source of one topic. It is safe for concurrent use. No other lock is acquired while its mutex is
 // held.
 type sources struct {
+	now     func() time.Duration
 	topic   string
 	tracker *tracker.Tracker
 	log     *log.Logger
@@ -50,9 +54,10 @@
 	hurry bool
 }
 
-// choose returns the source to read from now. If there is none at present, it returns the time to wait.
+// choose returns the source to read from now. If there is none at present, it returns the time to wait. If the latest proof
+// has reached its maximum age, the next read does not wait for records.
 func (s *sources) choose() (source, time.Duration) {
-	now := timekeeper.SinceBoot()
+	now := s.now()
 	others, addresses := s.others()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -60,10 +65,13 @@
 	if choice.Pause > 0 {
 		return source{}, choice.Pause
 	}
-	next := source{name: choice.Source, address: addresses[choice.Source]}
+	next := source{name: choice.Source, address: addresses[choice.Source], until: choice.Until, overdue: choice.Overdue}
+	if next.overdue {
+		s.countOverdue()
+	}
 	if next.name != s.latest.name {
 		s.log.Info().Str("topic", s.topic).Str("from", s.latest.String()).Str("to", next.String()).
-			Bool("store-failed", s.elector.StoreFailed(now)).Int("neighbours", len(others)).Msg("records read elsewhere")
+			Bool("store-failed", s.elector.StoreFailed(now)).Bool("overdue", next.overdue).Int("neighbours", len(others)).Msg("records read elsewhere")
 	}
 	s.latest = next
 	return next, 0
@@ -108,7 +116,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.latest = source{name: elector.Store}
-	return s.latest, s.elector.StorePause(timekeeper.SinceBoot())
+	return s.latest, s.elector.StorePause(s.now())
 }
 
 // begin returns the context of a read and the function that cancels it, and whether the read must not wait for records.
@@ -133,7 +141,7 @@
 // asked records a question of another node. It interrupts the pending read if this node did not read the store before,
 // or if the question needs a more recent read. It returns false if the store has failed recently.
 func (s *sources) asked(stale bool) bool {
-	now := timekeeper.SinceBoot()
+	now := s.now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	first := s.elector.Asked(now)
@@ -161,7 +169,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.hurry {
-		s.cancelPending(timekeeper.SinceBoot())
+		s.cancelPending(s.now())
 	}
 }
 
@@ -174,6 +182,15 @@
 	}
 }
 
+// proven records that a reading proves which records were the newest at the given time. It reports whether that is recent
+// enough.
+func (s *sources) proven(at time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.elector.Proven(at)
+	return !s.elector.Overdue(s.now())
+}
+
 // ended records the result of a read.
 func (s *sources) ended(from source, err error) {
 	s.count(from, err)
@@ -187,7 +204,14 @@
 	if errors.Is(err, distributor.ErrStale) || errors.Is(err, distributor.ErrBehind) {
 		how = elector.Stale
 	}
-	s.elector.Failed(timekeeper.SinceBoot(), from.name, how, rand.Float64())
+	s.elector.Failed(s.now(), from.name, how, rand.Float64())
+}
+
+// countOverdue counts the reads that were chosen because the latest proof had reached its maximum age.
+func (s *sources) countOverdue() {
+	if s.metrics != nil {
+		s.metrics.GetOrCreateCounter(`record_reads_overdue_total{topic="` + s.topic + `"}`).Inc()
+	}
 }
 
 func (s *sources) count(from source, err error) {
--- a/internal/platform/watcher/topic.go
+++ b/internal/platform/watcher/topic.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"time"
 
 	"github.com/phuslu/log"
-	"github.com/plantainwheel/plantainwheel/internal/node/timekeeper"
 	"github.com/plantainwheel/plantainwheel/internal/node/waiter"
 	"github.com/plantainwheel/plantainwheel/internal/peer/distributor"
 	"github.com/plantainwheel/plantainwheel/platform"
@@ -18,12 +18,19 @@
 	readTimeoutMargin = 900 * time.Millisecond
 	// newestTimeout is the timeout of a read of the newest records.
 	newestTimeout = 2500 * time.Millisecond
+	// overdueMaxAge is the maximum age of what another node has read when it is asked because the latest proof is overdue.
+	// Nodes that fall behind together ask at nearly the same time, and one read of the store is enough for all.
+	overdueMaxAge = 200 * time.Millisecond
 	// firstNeighbourWait is how long another node may wait for the records of a topic that this node has not read yet.
 	firstNeighbourWait = 100 * time.Millisecond
 )
 
+// errOverdue is returned for records of another node whose proof has reached its maximum age.
+var errOverdue = fmt.Errorf("%w: proof has reached its maximum age", distributor.ErrStale)
+
 // topic follows one keyed topic of the store.
 type topic struct {
+	now   func() time.Duration
 	store Store
 	// neighbours, if set, answers from other nodes, which sources chooses.
 	neighbours Neighbours
@@ -131,7 +138,7 @@
 	if position != distributor.FromNewest {
 		defer context.AfterFunc(eraEnded, cancel)()
 	}
-	t.immediate = t.immediate || hurry
+	t.immediate = t.immediate || hurry || from.overdue
 	reading, err := t.fetch(readCtx, from, era, position)
 	interrupted := readCtx.Err() != nil
 	t.sources.end()
@@ -158,6 +165,9 @@
 		t.restart(&reading)
 	}
 	t.accept(position, &reading)
+	if !t.sources.proven(reading.ProvenAt) && !from.isStore() {
+		return errOverdue
+	}
 	if t.gatherTime != nil && len(reading.Records) > 0 && from.isStore() && position != distributor.FromNewest {
 		waiter.Sleep(ctx, t.gatherTime())
 	}
@@ -176,9 +186,18 @@
 // fetch reads the records at the position from the source.
 func (t *topic) fetch(ctx context.Context, from source, era platform.Era, position int64) (distributor.Reading, error) {
 	if !from.isStore() {
-		return t.neighbours.Read(ctx, from.address, t.question(era, position))
+		if from.until > 0 {
+			var cancel context.CancelFunc
+			ctx, cancel = context.WithTimeout(ctx, from.until-t.now())
+			defer cancel()
+		}
+		q := t.question(era, position)
+		if from.overdue {
+			q.MaxAge = min(q.MaxAge, overdueMaxAge)
+		}
+		return t.neighbours.Read(ctx, from.address, q)
 	}
-	sentAt := timekeeper.SinceBoot()
+	sentAt := t.now()
 	if position == distributor.FromNewest {
 		ctx, cancel := context.WithTimeout(ctx, newestTimeout)
 		defer cancel()
--- a/internal/platform/watcher/watcher.go
+++ b/internal/platform/watcher/watcher.go
@@ -26,9 +26,17 @@
 	memberReadWait      = 3 * time.Second
 	memberNeighbourWait = 1500 * time.Millisecond
 	maxMemberAge        = 8 * time.Second
-	// configNeighbourWait is how long a read of the configuration from another node waits. A silent node is noticed after
-	// little more than that, and another one is then asked.
-	configNeighbourWait = 600 * time.Millisecond
+	// configNeighbourMargin is added to the wait of a read of the configuration in the store to obtain that of a read from
+	// another node, which answers when its own read has ended.
+	configNeighbourMargin = 200 * time.Millisecond
+	// maxProofShare is the age of the latest proof of the configuration, as a share of ConfigApply, at which a node that has
+	// not answered is given up for the next one. storeProofShare is that at which the store is read whatever the other nodes
+	// say. The rest is left for that read.
+	maxProofShare   = 0.75
+	storeProofShare = 0.825
+	// configWaitShare is the maximum wait of a read of the configuration in the store, as a share of ConfigApply. What
+	// another node knows is older by up to two such waits, which must be less than maxProofShare.
+	configWaitShare = 0.325
 	// maxCostsAge is the maximum age of the stored request costs that another node has read.
 	maxCostsAge = 10 * time.Second
 	// firstReadPeriod is how long the other topics wait at the start of the node for the members, from which they may be
@@ -73,9 +81,13 @@
 	Log     *log.Logger
 	// Self is the name of this node.
 	Self string
-	// ConfigWait is how long a read of the configuration waits for a new record. While the store answers, it bounds
+	// Now, if set, replaces timekeeper.SinceBoot.
+	Now func() time.Duration
+	// ConfigWait is how long a read of the configuration waits for a new record at most. While the store answers, it bounds
 	// the time since the configuration was last confirmed to be the newest.
 	ConfigWait time.Duration
+	// ConfigApply, if not 0, is the maximum time from the store's acknowledgement of a configuration until it is in force.
+	ConfigApply time.Duration
 	// SettlePeriod is the time after a restore of the store within which lost records are written again.
 	// MaxSettlePeriod replaces it while the store has no configuration as new as the one in force.
 	SettlePeriod    time.Duration
@@ -116,22 +128,38 @@
 	membersKnown atomic.Bool
 }
 
+// proofAge returns an age of the latest proof of the configuration as a share of ConfigApply.
+func (w *Watcher) proofAge(share float64) time.Duration {
+	return time.Duration(share * float64(w.ConfigApply))
+}
+
 // spread returns the time over which the nodes of the fleet spread calls, given the time for each node.
 func (w *Watcher) spread(perNode time.Duration) time.Duration {
 	return time.Duration(len(w.Tracker.OtherMembers())+1) * perNode
 }
 
+// now reads the clock by which the age of records is measured.
+func (w *Watcher) now() time.Duration {
+	if w.Now != nil {
+		return w.Now()
+	}
+	return timekeeper.SinceBoot()
+}
+
 // initialize creates what the topics share.
 func (w *Watcher) initialize() {
 	w.once.Do(func() {
-		w.eras = newEras(w.SettlePeriod, w.MaxSettlePeriod)
+		w.eras = newEras(w.now, w.SettlePeriod, w.MaxSettlePeriod)
 		w.membersRead = make(chan struct{})
 		w.sources = map[string]*sources{}
 		for _, name := range Topics {
-			s := &sources{topic: name, log: w.Log, metrics: w.Metrics, elector: elector.Elector{Self: w.Self}}
+			s := &sources{now: w.now, topic: name, log: w.Log, metrics: w.Metrics, elector: elector.Elector{Self: w.Self}}
 			if w.Neighbours != nil {
 				s.tracker = w.Tracker
 			}
+			if name == platform.ConfigTopic {
+				s.elector.MaxAge, s.elector.StoreAge = w.proofAge(maxProofShare), w.proofAge(storeProofShare)
+			}
 			w.sources[name] = s
 		}
 	})
@@ -157,7 +185,7 @@
 func (w *Watcher) newTopic(name string, wait, neighbourWait, maxAge time.Duration) *topic {
 	w.initialize()
 	return &topic{
-		store: w.Store, neighbours: w.Neighbours, sources: w.sources[name], copy: w.Copy, name: name, log: w.Log, eras: w.eras,
+		now: w.now, store: w.Store, neighbours: w.Neighbours, sources: w.sources[name], copy: w.Copy, name: name, log: w.Log, eras: w.eras,
 		wait: wait, neighbourWait: neighbourWait, maxAge: maxAge,
 	}
 }
@@ -176,7 +204,12 @@
 
 // FollowConfig follows the configuration until ctx ends.
 func (w *Watcher) FollowConfig(ctx context.Context) {
-	t := w.newTopic(platform.ConfigTopic, w.ConfigWait, configNeighbourWait, w.MaxConfigAge)
+	wait, maxAge := w.ConfigWait, w.MaxConfigAge
+	if w.ConfigApply > 0 {
+		wait = min(wait, w.proofAge(configWaitShare))
+		maxAge = min(maxAge, w.proofAge(maxProofShare))
+	}
+	t := w.newTopic(platform.ConfigTopic, wait, wait+configNeighbourMargin, maxAge)
 	t.apply, t.onApplied = w.applyConfig, w.confirmConfig
 	t.reset = func(map[string]bool) {
 		w.storedVersion = 0
@@ -217,7 +250,7 @@
 	w.Evacuations.Complete()
 	if w.eras.proves(sentAt, era) {
 		w.Keeper.Confirm(sentAt)
-		w.Evacuations.Confirm(timekeeper.SinceBoot(), sentAt)
+		w.Evacuations.Confirm(w.now(), sentAt)
 	}
 }
 
--- a/internal/policy/elector/elector.go
+++ b/internal/policy/elector/elector.go
@@ -4,6 +4,11 @@
 // If every node reads the store, the number of calls grows with the fleet. So the nodes of a data centre are ranked by
 // a hash of their names, without any agreement, and each node asks the first one that answers. A node that is asked
 // reads the store itself, so nodes with different views of the members cannot wait for each other.
+//
+// A node that is asked may have lost the store, or may not answer, and so may the next ones. Where records must be known
+// within a bound, a node therefore goes by the age of its latest proof that it knows the newest ones, over the whole chain
+// of sources: at one age it gives its question up and asks the next node, which reads the store for all that do so, and at a
+// second one it reads the store itself.
 package elector
 
 import (
@@ -52,21 +57,34 @@
 	Source string
 	// Pause is the time to wait before the next choice if there is no source at present.
 	Pause time.Duration
+	// Overdue is set if the latest proof has reached its maximum age. The source must then prove what is newest at once.
+	Overdue bool
+	// Until, if not 0, is when a read from another node is given up.
+	Until time.Duration
 }
 
 // Elector chooses the source of one topic. All times are readings of one clock. It is not safe for concurrent use.
 type Elector struct {
 	// Self is the name of this node.
 	Self string
+	// MaxAge, if not 0, is the age of the latest proof at which a question to another node is given up and the next one is
+	// asked. StoreAge is that at which the store is read whatever other sources there are.
+	MaxAge   time.Duration
+	StoreAge time.Duration
 
 	failures   map[string]failure
 	askedUntil time.Duration
 	// reading is set while the latest choice made this node a reader for others, or left it alone.
 	reading bool
+	// provenAt is the time of the latest proof, if there is one.
+	provenAt time.Duration
+	proven   bool
 }
 
 // failure is a source that has failed.
 type failure struct {
+	how     Failure
+	at      time.Duration
 	until   time.Duration
 	backoff time.Duration
 }
@@ -78,15 +96,60 @@
 	own := slices.Index(ranked, e.Self)
 	e.reading = now < e.askedUntil || own >= 0 && own < maxRanked && (first < 0 || own < first) || len(others) == 0
 	storeFailed := e.failed(now, Store)
+	choice := Choice{Overdue: e.Overdue(now), Until: e.until(now)}
+	storeDue := choice.Overdue && choice.Until == 0
 	switch {
-	case e.reading && !storeFailed:
-		return Choice{Source: Store}
-	case first >= 0 && (first < maxRanked || storeFailed):
-		return Choice{Source: ranked[first]}
+	case (e.reading || storeDue) && !storeFailed:
+		choice.Source = Store
+	case first >= 0 && (e.passed(ranked[:first]) < maxRanked || storeFailed):
+		choice.Source = ranked[first]
 	case !storeFailed:
-		return Choice{Source: Store}
+		choice.Source = Store
 	default:
-		return Choice{Pause: e.nextRetry(now)}
+		choice.Pause = e.nextRetry(now)
+	}
+	return choice
+}
+
+// passed counts the nodes, all of which have failed, towards maxRanked. Where the age of the latest proof bounds the time
+// that is lost with nodes that do not answer, these do not count: only nodes that answer tell of an outage of the store.
+func (e *Elector) passed(failed []string) int {
+	if e.MaxAge == 0 {
+		return len(failed)
+	}
+	n := 0
+	for _, name := range failed {
+		if name == e.Self || e.failures[name].how == Stale {
+			n++
+		}
+	}
+	return n
+}
+
+// Overdue reports whether the latest proof has reached its maximum age.
+func (e *Elector) Overdue(now time.Duration) bool {
+	return e.MaxAge > 0 && e.proven && now-e.provenAt >= e.MaxAge
+}
+
+// until returns when a question to another node is given up, or 0 if it is not because of the latest proof.
+func (e *Elector) until(now time.Duration) time.Duration {
+	if e.MaxAge == 0 || !e.proven {
+		return 0
+	}
+	for _, age := range [...]time.Duration{e.MaxAge, e.StoreAge} {
+		if now < e.provenAt+age {
+			return e.provenAt + age
+		}
+	}
+	return 0
+}
+
+// Proven records that a reading proves which records were the newest at the given time. If another node has reached the
+// store after this one had failed to, a node that does not read it for others may try it again at once when it is overdue.
+func (e *Elector) Proven(at time.Duration) {
+	e.provenAt, e.proven = max(e.provenAt, at), true
+	if f, ok := e.failures[Store]; ok && !e.reading && at > f.at {
+		delete(e.failures, Store)
 	}
 }
 
@@ -171,6 +234,7 @@
 		lowest, highest = staleBackoff, staleBackoff
 	}
 	f.backoff = min(max(2*f.backoff, lowest), highest)
+	f.how, f.at = how, now
 	f.until = now + time.Duration((0.5+jitter)*float64(f.backoff))
 	e.failures[source] = f
 }
--- a/internal/policy/elector/elector_test.go
+++ b/internal/policy/elector/elector_test.go
@@ -44,8 +44,7 @@
 
 func run(t *testing.T, e *elector.Elector, f []string, long, short map[string]string) {
 	t.Helper()
-	now, err := time.ParseDuration(f[0])
-	assert.NilError(t, err)
+	now := duration(t, f[0])
 	switch f[1] {
 	case "choose":
 		var others []string
@@ -60,6 +59,13 @@
 			got = "pause"
 		}
 		assert.Equal(t, got, f[4], "%v", f)
+		if len(f) > 6 {
+			assert.Equal(t, choice.Until, duration(t, f[6]), "%v", f)
+		}
+	case "ages":
+		e.MaxAge, e.StoreAge = duration(t, f[2]), duration(t, f[3])
+	case "proven":
+		e.Proven(duration(t, f[2]))
 	case "failed":
 		how := elector.Silent
 		if f[3] == "stale" {
@@ -75,6 +81,13 @@
 	}
 }
 
+func duration(t *testing.T, text string) time.Duration {
+	t.Helper()
+	d, err := time.ParseDuration(text)
+	assert.NilError(t, err)
+	return d
+}
+
 // TestPausesAreSpread checks that the retries of nodes that fail together are spread over the whole pause.
 func TestPausesAreSpread(t *testing.T) {
 	for _, jitter := range []float64{0, 0.25, 0.5, 0.75, 1} {
