Report closed connections before other requests open new ones

Cause: the request that found all idle connections closed reported it after it had released the pool's mutex, and those beside it were sent on new connections while the target still counted as warm. Ruled out: resends, which take the pace again before each send, and the pace itself, whose rate and burst keep any second within the bound.

Change: the pool reports it while it holds the mutex.

--- a/internal/route/transporter/idle.go
+++ b/internal/route/transporter/idle.go
@@ -157,9 +157,9 @@
 func (p *Pool) take(address string, maxIdle time.Duration) (*pooledConn, DialReason) {
 	now := time.Now()
 	allClosed := false
-	defer func() { p.reportClosed(address, allClosed) }()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	defer func() { p.reportClosed(address, allClosed) }()
 	c := p.at(address)
 	repeatable := p.FreshIdle > 0 && maxIdle > p.FreshIdle
 	if repeatable && now.Before(c.distrustedUntil) {
@@ -205,7 +205,8 @@
 	return slices.ContainsFunc(c.idle, func(pc *pooledConn) bool { return pc.conn.Err() == nil })
 }
 
-// reportClosed calls OnAllClosed if closed is set. The pool's mutex must not be held.
+// reportClosed calls OnAllClosed if closed is set. The caller holds the pool's mutex, so that no other request opens a
+// connection before the report.
 func (p *Pool) reportClosed(address string, closed bool) {
 	if closed && p.OnAllClosed != nil {
 		p.OnAllClosed(address)
@@ -310,18 +311,10 @@
 func (p *Pool) CloseExpired() {
 	p.once.Do(p.start)
 	now := time.Now()
-	var closed []string
-	defer func() {
-		for _, address := range closed {
-			p.reportClosed(address, true)
-		}
-	}()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for address, c := range p.addresses {
-		if len(c.idle) > 0 && !c.anyOpen() {
-			closed = append(closed, address)
-		}
+		p.reportClosed(address, len(c.idle) > 0 && !c.anyOpen())
 		remaining := c.idle[:0]
 		for _, pc := range c.idle {
 			switch {
--- a/internal/route/transporter/transporter.go
+++ b/internal/route/transporter/transporter.go
@@ -142,6 +142,7 @@
 	// the longest idle connection for a request with a larger maxIdle, and the most recently used one for all others.
 	FreshIdle time.Duration
 	// OnAllClosed, if set, is called when idle connections to an address turn out to be closed and no idle one is left open.
+	// It must not call the pool.
 	OnAllClosed func(address string)
 	// Dial, if set, opens the connections.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
