Bound bodies without a length, and play bytes without end on real nodes

The report of another operator: a faulty instance sends bytes without end, and the machine that called it keeps them all.

Found beside it: a body in chunks was passed on beyond max_body_bytes, which was compared with the declared length only. The gateway counts it now and answers 413.

--- /dev/null
+++ b/internal/caller/gateway/body.go
@@ -0,0 +1,62 @@
+package gateway
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"sync/atomic"
+
+	"github.com/plantainwheel/plantainwheel/internal/route/transporter"
+)
+
+var bodyTooLarge = &refusal{http.StatusRequestEntityTooLarge, "body-too-large", 0}
+
+// errBodyTooLarge is returned by limitedBody.
+var errBodyTooLarge = errors.New("request body is too large")
+
+// limitedBody reads a body that may come without a length, up to the operator's limit.
+type limitedBody struct {
+	io.Reader
+	remaining int64
+	// exceeded is set once the body has turned out to be longer. It is read while the body is passed on.
+	exceeded atomic.Bool
+}
+
+func (b *limitedBody) Read(p []byte) (int, error) {
+	if int64(len(p)) > b.remaining+1 {
+		p = p[:b.remaining+1]
+	}
+	n, err := b.Reader.Read(p)
+	if int64(n) > b.remaining {
+		b.exceeded.Store(true)
+		return int(b.remaining), errBodyTooLarge
+	}
+	b.remaining -= int64(n)
+	return n, err
+}
+
+// readBody reads the body in full, or the beginning of one that is passed on as a stream. It returns a refusal if the body
+// is too long.
+func (g *Gateway) readBody(q *request) *refusal {
+	limit := int64(transporter.MaxBufferedBytes)
+	if g.stop.Load() != nil {
+		limit = stopBufferedBytes
+	}
+	body := io.Reader(q.r.Body)
+	if maxBytes := q.table.Config.Limits.MaxBodyBytes; maxBytes > 0 && q.r.ContentLength < 0 {
+		q.limit.Reader, q.limit.remaining = body, maxBytes
+		body = &q.limit
+	}
+	var err error
+	if q.body, err = transporter.ReadBodyUpTo(body, q.r.ContentLength, limit); err == nil {
+		err = q.body.Peek()
+	}
+	switch {
+	case errors.Is(err, errBodyTooLarge):
+		return bodyTooLarge
+	case err != nil:
+		// The client disconnected, or its body is incomplete.
+		panic(http.ErrAbortHandler)
+	}
+	return nil
+}
--- a/internal/caller/gateway/gateway.go
+++ b/internal/caller/gateway/gateway.go
@@ -111,6 +111,7 @@
 	// deadline is the client's or the route's deadline, whichever is earlier.
 	deadline time.Time
 	body     transporter.Body
+	limit    limitedBody
 	// service is the service chosen to run the request.
 	service string
 	// sends counts the targets that the request was sent to.
@@ -221,7 +222,7 @@
 	}
 	q.deadline = q.start.Add(limit)
 	if maxBytes := q.table.Config.Limits.MaxBodyBytes; maxBytes > 0 && q.r.ContentLength > maxBytes {
-		return &refusal{http.StatusRequestEntityTooLarge, "body-too-large", 0}
+		return bodyTooLarge
 	}
 	return nil
 }
@@ -250,19 +251,10 @@
 
 // serve sends the request to a target and writes the answer.
 func (g *Gateway) serve(q *request) {
-	limit := int64(transporter.MaxBufferedBytes)
-	if g.stop.Load() != nil {
-		limit = stopBufferedBytes
-	}
-	body, err := transporter.ReadBodyUpTo(q.r.Body, q.r.ContentLength, limit)
-	if err != nil {
-		// The client disconnected, or its body is incomplete.
-		panic(http.ErrAbortHandler)
-	}
-	if err := body.Peek(); err != nil {
-		panic(http.ErrAbortHandler)
+	if v := g.readBody(q); v != nil {
+		g.refuse(q, v)
+		return
 	}
-	q.body = body
 	if v := g.checkStop(q); v != nil {
 		// The body has taken long, or is too long to be read in full.
 		g.refuse(q, v)
@@ -443,6 +435,10 @@
 		reason := g.notRunReason(q, a.Reason)
 		g.refuse(q, &refusal{http.StatusServiceUnavailable, reason, retryAfter(reason)})
 		return
+	case a.Unknown && q.limit.exceeded.Load():
+		// The target has not got the whole request.
+		g.refuse(q, bodyTooLarge)
+		return
 	case a.Unknown && a.Reason == executor.ReasonAnswerTimeout:
 		g.refuse(q, &refusal{http.StatusGatewayTimeout, a.Reason, 0})
 		return
--- a/internal/standin/responder/responder.go
+++ b/internal/standin/responder/responder.go
@@ -65,8 +65,24 @@
 	EndlessTrailer Fault = "endless-trailer"
 	// EndlessExtra sends a complete response and goes on.
 	EndlessExtra Fault = "endless-extra"
+	// EndlessBlank sends blank lines only.
+	EndlessBlank Fault = "endless-blank"
+	// EndlessChunkSize never ends the size of a chunk, EndlessChunkExtension what follows it.
+	EndlessChunkSize      Fault = "endless-chunk-size"
+	EndlessChunkExtension Fault = "endless-chunk-extension"
+	// EndlessFailure, EndlessRefusal and EndlessMisdirected send a body without a length behind a failure, a refusal that
+	// says that the request has not run, and one that says that it was meant for another incarnation.
+	EndlessFailure     Fault = "endless-failure"
+	EndlessRefusal     Fault = "endless-refusal"
+	EndlessMisdirected Fault = "endless-misdirected"
 )
 
+// EndlessFaults lists the faults that send bytes until the connection is closed.
+var EndlessFaults = []Fault{
+	EndlessStatus, EndlessHeader, EndlessHeaders, EndlessInterim, EndlessChunks, EndlessUnframed, EndlessTrailer, EndlessExtra,
+	EndlessBlank, EndlessChunkSize, EndlessChunkExtension, EndlessFailure, EndlessRefusal, EndlessMisdirected,
+}
+
 // LongBodyBytes is the length of the body of LongBody.
 const LongBodyBytes = 8 << 20
 
@@ -79,8 +95,17 @@
 	EndlessUnframed: {"\r\n", "xxxxxxxx"},
 	EndlessTrailer:  {"Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n", "X-More: x\r\n"},
 	EndlessExtra:    {"Content-Length: 2\r\n\r\nok", "xxxxxxxx"},
+
+	EndlessChunkSize:      {"Transfer-Encoding: chunked\r\n\r\n", "00000000"},
+	EndlessChunkExtension: {"Transfer-Encoding: chunked\r\n\r\n8;", "xxxxxxxx"},
+	EndlessFailure:        {"\r\n", "xxxxxxxx"},
+	EndlessRefusal:        {"X-Plantainwheel-Not-Executed: 1\r\n\r\n", "xxxxxxxx"},
+	EndlessMisdirected:    {"\r\n", "xxxxxxxx"},
 }
 
+// endlessStatus holds the status of the endless faults that are no success.
+var endlessStatus = map[Fault]string{EndlessFailure: "500 Failed", EndlessRefusal: "503 Full", EndlessMisdirected: "421 Misdirected"}
+
 // Request is a request as received by the target.
 type Request struct {
 	Method string
@@ -99,6 +124,7 @@
 	OnCrash func()
 
 	mu          sync.Mutex
+	discard     bool
 	script      *Script
 	fault       Fault
 	headers     string
@@ -147,6 +173,25 @@
 	r.ServiceTime = d
 }
 
+// SetDiscard makes the responder throw the bodies of all subsequent requests away as it reads them.
+func (r *Responder) SetDiscard(discard bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.discard = discard
+}
+
+// readBody reads the body of a request in full.
+func (r *Responder) readBody(body io.Reader) ([]byte, error) {
+	r.mu.Lock()
+	discard := r.discard
+	r.mu.Unlock()
+	if discard {
+		_, err := io.Copy(io.Discard, body)
+		return nil, err
+	}
+	return io.ReadAll(body)
+}
+
 // SetFault sets the fault of all subsequent responses.
 func (r *Responder) SetFault(f Fault) {
 	r.mu.Lock()
@@ -233,7 +278,7 @@
 		if err != nil {
 			return
 		}
-		body, err := io.ReadAll(req.Body)
+		body, err := r.readBody(req.Body)
 		if err != nil {
 			return
 		}
@@ -363,6 +408,11 @@
 		before, repeated = "HTTP/1.1 200 ", "xxxxxxxx"
 	case EndlessInterim:
 		before, repeated = "", "HTTP/1.1 103 Early Hints\r\n\r\n"
+	case EndlessBlank:
+		before, repeated = "", "\r\n\r\n\r\n\r\n"
+	}
+	if status, ok := endlessStatus[f]; ok {
+		before = strings.Replace(before, "200 OK", status, 1)
 	}
 	block := []byte(strings.Repeat(repeated, 1<<10))
 	for next := []byte(before); ; next = block {
