Answer requests whose client stops in the body by their deadline

A request whose client stopped in the middle of its body got no answer, neither at the route's timeout nor later, and its handler, buffer and connection were held until the client left.

Cause: reading the body had no time limit. The deadline of a streamed upload ended the request to the target, but net/http's client returns only once the body has returned from its read, and the server reads on before it answers. Ruled out: the executor's slot, which was free at the deadline.

Change: the read deadline of the connection is the request's deadline until the body has been read to its end. 408 if nothing has been passed on, 504 otherwise.

--- a/internal/caller/gateway/body.go
+++ b/internal/caller/gateway/body.go
@@ -4,12 +4,17 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"sync/atomic"
+	"time"
 
 	"github.com/plantainwheel/plantainwheel/internal/route/transporter"
 )
 
-var bodyTooLarge = &refusal{http.StatusRequestEntityTooLarge, "body-too-large", 0}
+var (
+	bodyTooLarge = &refusal{http.StatusRequestEntityTooLarge, "body-too-large", 0}
+	bodyTimeout  = &refusal{http.StatusRequestTimeout, "body-timeout", transientRetryAfter}
+)
 
 // errBodyTooLarge is returned by limitedBody.
 var errBodyTooLarge = errors.New("request body is too large")
@@ -35,14 +40,44 @@
 	return n, err
 }
 
+// timedBody is a body that must arrive by the read deadline of its connection.
+type timedBody struct {
+	io.Reader
+	// ended is called when the body has been read to its end.
+	ended func()
+	// expired is set once the deadline has passed. The server then ends the context of the request as if the client had
+	// left. It is read while the body is passed on.
+	expired atomic.Bool
+}
+
+func (b *timedBody) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	switch {
+	case errors.Is(err, io.EOF):
+		b.ended()
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		b.expired.Store(true)
+	}
+	return n, err
+}
+
 // readBody reads the body in full, or the beginning of one that is passed on as a stream. It returns a refusal if the body
-// is too long.
+// is too long or does not arrive by the request's deadline. The rest of a stream must also arrive by then: a target is
+// given up only when no more of the body is read.
 func (g *Gateway) readBody(q *request) *refusal {
 	limit := int64(transporter.MaxBufferedBytes)
 	if g.stop.Load() != nil {
 		limit = stopBufferedBytes
 	}
 	body := io.Reader(q.r.Body)
+	if q.r.ContentLength != 0 {
+		// Writers of tests have no deadlines.
+		conn := http.NewResponseController(q.w)
+		_ = conn.SetReadDeadline(q.deadline)
+		// After the body, the server waits for the client to leave.
+		q.timed.Reader, q.timed.ended = body, func() { _ = conn.SetReadDeadline(time.Time{}) }
+		body = &q.timed
+	}
 	if maxBytes := q.table.Config.Limits.MaxBodyBytes; maxBytes > 0 && q.r.ContentLength < 0 {
 		q.limit.Reader, q.limit.remaining = body, maxBytes
 		body = &q.limit
@@ -54,6 +89,8 @@
 	switch {
 	case errors.Is(err, errBodyTooLarge):
 		return bodyTooLarge
+	case q.timed.expired.Load():
+		return bodyTimeout
 	case err != nil:
 		// The client disconnected, or its body is incomplete.
 		panic(http.ErrAbortHandler)
--- a/internal/caller/gateway/body_test.go
+++ b/internal/caller/gateway/body_test.go
@@ -1,12 +1,15 @@
 package gateway_test
 
 import (
+	"bufio"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/plantainwheel/plantainwheel/internal/route/transporter"
 	"gotest.tools/v3/assert"
@@ -41,3 +44,36 @@
 		})
 	}
 }
+
+// TestStalledBody guards against a request that is held without end, with the memory of its body, because its client sends
+// no more of it. The route's timeout is 800 ms.
+func TestStalledBody(t *testing.T) {
+	f := newFixture(t, &transporter.Answer{Status: 200})
+	server := httptest.NewServer(f.gateway)
+	defer server.Close()
+	conn, err := net.Dial("tcp", strings.TrimPrefix(server.URL, "http://"))
+	assert.NilError(t, err)
+	defer conn.Close()
+	_ = conn.SetDeadline(time.Now().Add(3 * time.Second))
+	const head = "POST /read/1 HTTP/1.1\r\nHost: h.example\r\nAuthorization: Bearer key\r\nContent-Length: 50\r\n\r\n"
+	in := bufio.NewReader(conn)
+	send := func(body string) int {
+		_, err := io.WriteString(conn, head+body)
+		assert.NilError(t, err)
+		resp, err := http.ReadResponse(in, nil)
+		assert.NilError(t, err)
+		_, _ = io.Copy(io.Discard, resp.Body)
+		_ = resp.Body.Close()
+		return resp.StatusCode
+	}
+	whole := strings.Repeat("x", 50)
+	assert.Equal(t, send(whole), 200)
+	// A connection that is idle for longer than the timeout goes on.
+	time.Sleep(time.Second)
+	assert.Equal(t, send(whole), 200)
+	began := time.Now()
+	assert.Equal(t, send("x"), 408)
+	took := time.Since(began)
+	assert.Assert(t, took > 700*time.Millisecond && took < 1300*time.Millisecond, "%s", took)
+	assert.Equal(t, len(f.sender.jobs), 2)
+}
--- a/internal/caller/gateway/gateway.go
+++ b/internal/caller/gateway/gateway.go
@@ -111,7 +111,9 @@
 	// deadline is the client's or the route's deadline, whichever is earlier.
 	deadline time.Time
 	body     transporter.Body
-	limit    limitedBody
+	// timed and limit are the body as it arrives.
+	timed timedBody
+	limit limitedBody
 	// service is the service chosen to run the request.
 	service string
 	// sends counts the targets that the request was sent to.
@@ -267,7 +269,7 @@
 	}
 	answer := g.place(q)
 	defer answer.Release()
-	if q.r.Context().Err() != nil {
+	if q.r.Context().Err() != nil && !q.timed.expired.Load() {
 		g.Metrics.Abandoned.Inc()
 		panic(http.ErrAbortHandler)
 	}
