Play planned stops with queues, calls of targets and other stops

The report of another operator: requests that come late in a planned stop are passed on and cut without an answer.

No product code is changed.

--- a/internal/node/attendant/stop_test.go
+++ b/internal/node/attendant/stop_test.go
@@ -1,6 +1,7 @@
 package attendant_test
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -32,6 +33,10 @@
 type stopClients struct {
 	f    *fleet
 	node int
+	// path is that of the requests, "/a/1" if it is not set.
+	path string
+	// withoutKey is set for the calls of a target.
+	withoutKey bool
 
 	mu sync.Mutex
 	// statuses counts the answers by status, and unanswered holds the errors of the others by the request's ID.
@@ -41,8 +46,11 @@
 
 // send sends a request that may run only once. A limit of 0 leaves it to the route.
 func (c *stopClients) send(client *http.Client, id string, limit time.Duration) {
-	req := c.f.request(http.MethodPost, c.f.nodes[c.node].Settings.OutboundListen, "/a/1")
+	req := c.f.request(http.MethodPost, c.f.nodes[c.node].Settings.OutboundListen, cmp.Or(c.path, "/a/1"))
 	req.Header.Set(platform.RequestIDHeader, id)
+	if c.withoutKey {
+		req.Header.Del(platform.AuthorizationHeader)
+	}
 	if limit > 0 {
 		req.Header.Set(platform.DeadlineHeader, fmt.Sprint(limit.Milliseconds()))
 	}
