Tidy the checks before a send, and compare incarnations without text

Seen in the last reading of the change: the checks before each send compared incarnations by text that was built each time, two allocations on the hot path of each request. blockReason says what leavingReason did not. Comments say why a question is asked twice and why a stream has a deadline.

--- a/internal/caller/gateway/body.go
+++ b/internal/caller/gateway/body.go
@@ -62,8 +62,8 @@
 }
 
 // readBody reads the body in full, or the beginning of one that is passed on as a stream. It returns a refusal if the body
-// is too long or does not arrive by the request's deadline. The rest of a stream must also arrive by then: a target is
-// given up only when no more of the body is read.
+// is too long or does not arrive by the request's deadline. The rest of a stream must also arrive by then, since net/http
+// returns from a request that has timed out only once its body has been read or has failed.
 func (g *Gateway) readBody(q *request) *refusal {
 	limit := int64(transporter.MaxBufferedBytes)
 	if g.stop.Load() != nil {
--- a/internal/platform/watcher/source.go
+++ b/internal/platform/watcher/source.go
@@ -54,8 +54,7 @@
 	hurry bool
 }
 
-// choose returns the source to read from now. If there is none at present, it returns the time to wait. If the latest proof
-// has reached its maximum age, the next read does not wait for records.
+// choose returns the source to read from now. If there is none at present, it returns the time to wait.
 func (s *sources) choose() (source, time.Duration) {
 	now := s.now()
 	others, addresses := s.others()
--- a/internal/target/executor/send.go
+++ b/internal/target/executor/send.go
@@ -69,17 +69,17 @@
 	return resp, again
 }
 
-// mayBegin reports whether the target may get the job now, and sets withheld if it may not. It is asked before each
-// connection is chosen, and again when it is established: much may change while it is opened, or while a request that is
-// sent again was under way.
+// mayBegin reports whether the target may get the job now, and sets withheld if it may not. It is called before a connection
+// is chosen, so that none is opened for nothing.
 func (s *sending) mayBegin(ctx context.Context) bool {
 	s.executor.mu.Lock()
 	defer s.executor.mu.Unlock()
 	return s.check(ctx)
 }
 
-// begin is called right before the job's first byte is sent. It reports whether it may be sent, charges the pace of a cold
-// target, and tells the target the time that is left.
+// begin is called right before the job's first byte is sent, because the answer of mayBegin may have changed while the
+// connection was opened. It reports whether the job may be sent, charges the pace of a cold target, and tells the target the
+// time that is left.
 func (s *sending) begin(ctx context.Context) bool {
 	e := s.executor
 	e.mu.Lock()
@@ -108,7 +108,7 @@
 	case ctx.Err() != nil:
 		s.withheld = ReasonCancelled
 	default:
-		s.withheld = s.executor.leavingReason(&s.target)
+		s.withheld = s.executor.blockReason(&s.target)
 	}
 	return s.withheld == ""
 }
--- a/internal/target/executor/slot.go
+++ b/internal/target/executor/slot.go
@@ -73,7 +73,7 @@
 
 // refusalReason returns why the target cannot accept requests for the expected incarnation, or "" if it can.
 func (e *Executor) refusalReason(now time.Time, expect string) string {
-	if reason := e.leavingReason(&e.target); reason != "" {
+	if reason := e.blockReason(&e.target); reason != "" {
 		return reason
 	}
 	switch {
@@ -88,15 +88,15 @@
 	}
 }
 
-// leavingReason returns why the incarnation must not get any requests, or "" if it may.
-func (e *Executor) leavingReason(of *Target) string {
+// blockReason returns why the incarnation must not be sent any request, or "" if it may.
+func (e *Executor) blockReason(of *Target) string {
 	if reason := e.withheld(); reason != "" {
 		return reason
 	}
 	switch {
 	case e.target.ID == "" || e.target.Gone:
 		return ReasonNoTarget
-	case of.incarnation() != e.target.incarnation():
+	case !of.isIncarnation(&e.target):
 		return ReasonOtherIncarnation
 	case e.target.Draining:
 		return ReasonDraining
--- a/internal/target/executor/target.go
+++ b/internal/target/executor/target.go
@@ -32,6 +32,11 @@
 	WarmUpEnd time.Time
 }
 
+// isIncarnation reports whether both are the same incarnation.
+func (t *Target) isIncarnation(of *Target) bool {
+	return t.ID == of.ID && t.StartedAtMs == of.StartedAtMs
+}
+
 // Announce applies an announcement of the target. It ignores an announcement that is not newer than the latest
 // one, and then returns false for accepted. The result changed reports whether other nodes must be informed.
 func (e *Executor) Announce(a platform.Announcement) (changed, accepted bool) {
@@ -120,7 +125,7 @@
 	case old.ID == "" || t.StartedAtMs > old.StartedAtMs:
 		// An announcement of an earlier incarnation may have arrived late.
 		e.target = t
-	case t.ID == old.ID && t.StartedAtMs == old.StartedAtMs:
+	case t.isIncarnation(&old):
 		e.target.Draining = old.Draining || t.Draining
 		e.target.Gone, e.target.DepartedAtMs = old.Gone || t.Gone, max(old.DepartedAtMs, t.DepartedAtMs)
 	}
