Call a store that has come back only when the bound asks for it

Cause: a proof from another node cleared this node's failure of the store. A node whose first three neighbours had just answered that they had lost the store then called it at once instead of asking on, and so did all others. Ruled out: overdue proofs, since a proof has just come.

Change: the failure stands; only a read that the bound asks for is allowed in spite of it once another node has reached the store.

--- a/internal/policy/elector/elector.go
+++ b/internal/policy/elector/elector.go
@@ -97,9 +97,10 @@
 	e.reading = now < e.askedUntil || own >= 0 && own < maxRanked && (first < 0 || own < first) || len(others) == 0
 	storeFailed := e.failed(now, Store)
 	choice := Choice{Overdue: e.Overdue(now), Until: e.until(now)}
-	storeDue := choice.Overdue && choice.Until == 0
+	// Another node may have reached the store since this one failed to.
+	storeDue := choice.Overdue && choice.Until == 0 && (!storeFailed || e.provenAt > e.failures[Store].at)
 	switch {
-	case (e.reading || storeDue) && !storeFailed:
+	case e.reading && !storeFailed, storeDue:
 		choice.Source = Store
 	case first >= 0 && (e.passed(ranked[:first]) < maxRanked || storeFailed):
 		choice.Source = ranked[first]
@@ -144,14 +145,8 @@
 	return 0
 }
 
-// Proven records that a reading proves which records were the newest at the given time. If another node has reached the
-// store after this one had failed to, a node that does not read it for others may try it again at once when it is overdue.
-func (e *Elector) Proven(at time.Duration) {
-	e.provenAt, e.proven = max(e.provenAt, at), true
-	if f, ok := e.failures[Store]; ok && !e.reading && at > f.at {
-		delete(e.failures, Store)
-	}
-}
+// Proven records that a reading proves which records were the newest at the given time.
+func (e *Elector) Proven(at time.Duration) { e.provenAt, e.proven = max(e.provenAt, at), true }
 
 // Rank returns the first of the nodes, maxRankedWithoutStore at most, in an order by a hash of their names that is the
 // same on all nodes. Each purpose has another order, so that not all work falls on the same nodes.
