Wait for the tasks of a node before its reporter is closed

Cause: Stop called Reporter.Close, which waits for Run, before it waited for the task that calls Run. If that had not begun yet, the wait returned at once and the socket was closed beside it.

Change: Stop waits for all tasks first.

--- a/internal/node/attendant/attendant.go
+++ b/internal/node/attendant/attendant.go
@@ -374,8 +374,8 @@
 	}
 	a.closeServers(closeAt)
 	a.cancel()
-	a.reporter.Close()
 	a.background.Wait()
+	a.reporter.Close()
 	for _, p := range a.pools {
 		p.Close()
 	}
