Let the test of a returning target not depend on placement

Cause: the test sent one request at a time while another target was left. The product is not at fault.

Change: the other target drains, so that each request must be served by the returned one, 20 in a row. The precondition of both tests no longer depends on placement either. Equally strict: the target must be in service, and now also for each request.

--- a/internal/node/attendant/departure_test.go
+++ b/internal/node/attendant/departure_test.go
@@ -39,20 +39,10 @@
 	t.Helper()
 	f := newFleet(t, 3)
 	f.announce(2, 2, "draining")
-	f.served(0)
+	f.eventually("served", func() bool { return f.get(2, "/a/1", "outbound") == 200 })
 	return f
 }
 
-// served waits until requests that enter at node 2 reach the target of node i.
-func (f *fleet) served(i int) {
-	f.t.Helper()
-	before := len(f.targets[i].Requests())
-	f.eventually("served by the target", func() bool {
-		f.get(2, "/a/1", "outbound")
-		return len(f.targets[i].Requests()) > before
-	})
-}
-
 // TestDepartureAfterRestart guards against requests that reach a target after a node has acknowledged its departure: the
 // node's process has been restarted before or after that, and an announcement from before the departure arrives late.
 func TestDepartureAfterRestart(t *testing.T) {
@@ -102,5 +92,13 @@
 	cfg := &f.nodes[0].Settings
 	body := fmt.Sprintf(`{"service":"x","address":%q,"zone":"dc","version":"v1","concurrency":20,"state":"ready","warmup_ms":0,"sequence":1,"born":%d}`, cfg.TargetAddress, time.Now().UnixMilli())
 	assert.Equal(t, f.putAnnouncement(0, "i-0", body), 200)
-	f.served(0)
+	// Single requests may all be placed at the other target while there is one.
+	f.announce(1, 2, "draining")
+	f.eventually("served by the new incarnation", func() bool {
+		before := len(f.targets[0].Requests())
+		return f.get(2, "/a/1", "outbound") == 200 && len(f.targets[0].Requests()) > before
+	})
+	for range 20 {
+		assert.Equal(t, f.get(2, "/a/1", "outbound"), 200)
+	}
 }
