Reject responses whose field names are not tokens

Callers saw: a target answered with a field name that holds a blank, inside the name or before the colon, and the answer was passed on as a success, the line dropped. Names in trailers likewise.

Cause: net/http keeps such names for the sake of old servers and drops them when it writes the answer. Nothing looked at the names.

Change: route/verifier checks status and names for all readers of responses: targets (defect "header"), health responses, nodes, calls between nodes, the store and the target of the product's own interface. Trailers are checked at the end of the body.

--- a/internal/node/runner/app.go
+++ b/internal/node/runner/app.go
@@ -19,6 +19,7 @@
 	operatorserver "github.com/plantainwheel/plantainwheel/internal/operator/server"
 	"github.com/plantainwheel/plantainwheel/internal/peer/messenger"
 	"github.com/plantainwheel/plantainwheel/internal/platform/client"
+	"github.com/plantainwheel/plantainwheel/internal/route/verifier"
 	"github.com/plantainwheel/plantainwheel/internal/setting/loader"
 	"github.com/plantainwheel/plantainwheel/internal/target/listener"
 	"go.uber.org/fx"
@@ -61,7 +62,7 @@
 }
 
 func newLogClient(cfg loader.Settings) follower.Log {
-	return &client.Client{URL: cfg.PlatformURL, Stream: cfg.Stream, HTTP: &http.Client{Transport: &http.Transport{}}}
+	return &client.Client{URL: cfg.PlatformURL, Stream: cfg.Stream, HTTP: &http.Client{Transport: verifier.NewTransport(&http.Transport{})}}
 }
 
 func newTransports(cfg loader.Settings) (Transports, error) {
--- a/internal/peer/connector/connector.go
+++ b/internal/peer/connector/connector.go
@@ -4,6 +4,8 @@
 import (
 	"net/http"
 	"time"
+
+	"github.com/plantainwheel/plantainwheel/internal/route/verifier"
 )
 
 const (
@@ -15,9 +17,9 @@
 // NewHTTPClient returns an HTTP client that keeps up to maxIdle connections to each node and ends replies after
 // maxReplyBytes.
 func NewHTTPClient(maxIdle int, maxReplyBytes int64) *http.Client {
-	return &http.Client{Transport: boundedTransport{&http.Transport{
+	return &http.Client{Transport: boundedTransport{verifier.NewTransport(&http.Transport{
 		MaxIdleConnsPerHost: maxIdle, IdleConnTimeout: idleConnTimeout, MaxResponseHeaderBytes: maxReplyHeaderBytes,
-	}, maxReplyBytes}}
+	}), maxReplyBytes}}
 }
 
 // boundedTransport ends the bodies of responses after maxBytes.
--- a/internal/peer/forwarder/forwarder.go
+++ b/internal/peer/forwarder/forwarder.go
@@ -14,6 +14,7 @@
 
 	"github.com/plantainwheel/plantainwheel/internal/policy/queuer"
 	"github.com/plantainwheel/plantainwheel/internal/route/transporter"
+	"github.com/plantainwheel/plantainwheel/internal/route/verifier"
 	"github.com/plantainwheel/plantainwheel/internal/target/executor"
 	"github.com/plantainwheel/plantainwheel/platform"
 )
@@ -174,7 +175,7 @@
 		cancel()
 	}
 	hop, err := decodeAnswerHop(resp.Header.Get(hopHeader))
-	if err != nil || !transporter.IsFinalStatus(resp.StatusCode) {
+	if err != nil || verifier.CheckHeader(resp) != nil {
 		// Nodes of earlier versions pass on any status.
 		release()
 		return transporter.UnknownAnswer(reasonNodeAnswer)
--- a/internal/peer/forwarder/forwarder_test.go
+++ b/internal/peer/forwarder/forwarder_test.go
@@ -122,6 +122,37 @@
 	assert.Equal(t, f.loadTracker.unreachable, 1)
 }
 
+// TestMalformedNodeAnswers guards against answers of a faulty node that net/http accepts although their status or a name in
+// their header or trailer is none.
+func TestMalformedNodeAnswers(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nPw: a 1 0 9 100\r\n"
+	for _, c := range []struct{ raw, reason string }{
+		{head + "Content-Length: 2\r\n\r\nok", ""},
+		{head + "X A: 1\r\nContent-Length: 2\r\n\r\nok", "node-answer"},
+		{head + "Content-Length : 2\r\n\r\nok", "node-answer"},
+		{strings.Replace(head, "200", "000", 1) + "Content-Length: 2\r\n\r\nok", "node-answer"},
+		{head + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX-A : 1\r\n\r\n", executor.ReasonConnectionBroken},
+	} {
+		t.Run(c.raw, func(t *testing.T) {
+			f := newFixture(t)
+			node := &responder.Responder{}
+			address, err := node.Open()
+			assert.NilError(t, err)
+			defer node.Close()
+			node.SetScript(&responder.Script{Raw: c.raw, Close: true})
+			a := f.forwarder.Do(t.Context(), "n", address, &executor.Job{
+				Request: transporter.Request{Method: http.MethodGet, URI: "/a", Host: "h", Header: http.Header{platform.RequestIDHeader: {"id"}}},
+				Route:   "r", Deadline: time.Now().Add(5 * time.Second), MaxWait: time.Second,
+			})
+			defer a.Release()
+			assert.Equal(t, a.Unknown, c.reason != "")
+			if a.Unknown {
+				assert.Equal(t, a.Reason, c.reason)
+			}
+		})
+	}
+}
+
 // TestCallerCancels checks that a request to a target that does not answer ends promptly when the caller
 // cancels.
 func TestCallerCancels(t *testing.T) {
--- a/internal/route/transporter/answer.go
+++ b/internal/route/transporter/answer.go
@@ -46,9 +46,6 @@
 	}
 }
 
-// IsFinalStatus reports whether the status is one of a final answer. net/http accepts any number of up to three digits.
-func IsFinalStatus(status int) bool { return status >= 200 && status <= 599 }
-
 // ReadBody reads a body of up to MaxBufferedBytes in full and leaves a longer one as a stream. A length of -1 means
 // that the length is unknown. ReadBody returns an error if a body that it reads in full is truncated.
 func ReadBody(r io.Reader, length int64) (Body, error) {
--- a/internal/route/transporter/transporter.go
+++ b/internal/route/transporter/transporter.go
@@ -17,6 +17,7 @@
 	"syscall"
 	"time"
 
+	"github.com/plantainwheel/plantainwheel/internal/route/verifier"
 	"golang.org/x/sys/unix"
 )
 
@@ -255,7 +256,7 @@
 		return nil, reused, fmt.Errorf("%w: %w", ErrNoAnswer, err)
 	}
 	pc.answered(resp.Header)
-	resp.Body = &pooledBody{ReadCloser: resp.Body, pool: p, address: address, pc: pc}
+	resp.Body = &pooledBody{ReadCloser: verifier.ResponseBody(resp), pool: p, address: address, pc: pc}
 	return resp, reused, nil
 }
 
--- /dev/null
+++ b/internal/route/verifier/verifier_test.go
@@ -0,0 +1,92 @@
+package verifier_test
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/plantainwheel/plantainwheel/internal/route/verifier"
+	"gotest.tools/v3/assert"
+)
+
+// serve answers each request on a real connection with the text and then closes the connection, or resets it after the sending
+// client is blocked.
+func serve(t *testing.T, text string, reset bool) (address string) {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	var serving sync.WaitGroup
+	t.Cleanup(func() {
+		_ = l.Close()
+		serving.Wait()
+	})
+	serving.Go(func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			req, err := http.ReadRequest(bufio.NewReader(c))
+			if err == nil {
+				if !reset {
+					_, _ = io.Copy(io.Discard, req.Body)
+				}
+				_, _ = io.WriteString(c, text)
+			}
+			if reset {
+				time.Sleep(300 * time.Millisecond)
+				_ = c.(*net.TCPConn).SetLinger(0)
+			}
+			_ = c.Close()
+		}
+	})
+	return l.Addr().String()
+}
+
+// TestTransport checks which responses are returned, and which bodies end without an error.
+func TestTransport(t *testing.T) {
+	const long = 32 << 20
+	for _, c := range []struct {
+		name, text string
+		sent       int
+		reset      bool
+		want       error
+	}{
+		{"with a length", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", 10, false, nil},
+		{"in chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX-A: 1\r\n\r\n", 10, false, nil},
+		{"ends with the connection", "HTTP/1.1 200 OK\r\n\r\nok", 10, false, nil},
+		{"ends with the connection, no request body", "HTTP/1.1 200 OK\r\n\r\nok", 0, false, nil},
+		{"version 1.0", "HTTP/1.0 200 OK\r\n\r\nok", 10, false, nil},
+		{"status 000", "HTTP/1.1 000 Failed\r\nContent-Length: 0\r\n\r\n", 10, false, verifier.ErrMalformed},
+		{"status 600", "HTTP/1.1 600 Failed\r\nContent-Length: 0\r\n\r\n", 10, false, verifier.ErrMalformed},
+		{"name with a blank", "HTTP/1.1 200 OK\r\nX A: 1\r\nContent-Length: 2\r\n\r\nok", 10, false, verifier.ErrMalformed},
+		{"length with a blank", "HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\nok", 10, false, verifier.ErrMalformed},
+		{"coding with a blank", "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", 10, false, verifier.ErrMalformed},
+		{"trailer with a blank", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX-A : 1\r\n\r\n", 10, false, verifier.ErrMalformed},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			client := &http.Client{Transport: verifier.NewTransport(&http.Transport{DisableKeepAlives: true}), Timeout: 10 * time.Second}
+			resp, err := client.Post("http://"+serve(t, c.text, c.reset), "text/plain", strings.NewReader(strings.Repeat("x", c.sent)))
+			var body []byte
+			if err == nil {
+				body, err = io.ReadAll(resp.Body)
+				assert.NilError(t, resp.Body.Close())
+			}
+			if c.want != nil && c.reset {
+				// Whether the reset is seen by the write or by the read depends on which comes first.
+				assert.Assert(t, err != nil, "%q looks complete", body)
+				return
+			}
+			assert.Assert(t, errors.Is(err, c.want), "%v", err)
+			if err == nil {
+				assert.Equal(t, string(body), "ok")
+			}
+		})
+	}
+}
--- a/internal/target/dispatcher/dispatcher.go
+++ b/internal/target/dispatcher/dispatcher.go
@@ -14,7 +14,7 @@
 
 	"github.com/plantainwheel/plantainwheel/internal/node/broker"
 	"github.com/plantainwheel/plantainwheel/internal/policy/granter"
-	"github.com/plantainwheel/plantainwheel/internal/route/transporter"
+	"github.com/plantainwheel/plantainwheel/internal/route/verifier"
 )
 
 // Headers that a target receives with each call.
@@ -49,12 +49,12 @@
 // SetTarget sets the target's address and the maximum number of connections to it.
 func (d *Dispatcher) SetTarget(address string, connections int) {
 	client := &http.Client{
-		Transport: &http.Transport{
+		Transport: verifier.NewTransport(&http.Transport{
 			MaxConnsPerHost:     connections,
 			MaxIdleConnsPerHost: connections,
 			IdleConnTimeout:     idleTimeout,
 			DisableCompression:  true,
-		},
+		}),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 	old := d.target.Swap(&target{address, client})
@@ -96,9 +96,6 @@
 }
 
 func (d *Dispatcher) readAnswer(resp *http.Response) (granter.Answer, error) {
-	if !transporter.IsFinalStatus(resp.StatusCode) {
-		return granter.Answer{}, fmt.Errorf("%w: status %03d", broker.ErrNoAnswer, resp.StatusCode)
-	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, d.MaxBodyBytes+1))
 	if err != nil {
 		return granter.Answer{}, fmt.Errorf("%w: %w", broker.ErrNoAnswer, err)
--- a/internal/target/dispatcher/dispatcher_test.go
+++ b/internal/target/dispatcher/dispatcher_test.go
@@ -78,6 +78,9 @@
 		{"breaks off at a chunk border", []string{whole, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n"}, broker.ErrNoAnswer},
 		{"answer is too large", []string{whole, fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: 1001\r\n\r\n%01001d", 1)}, broker.ErrNoAnswer},
 		{"answer is no HTTP", []string{whole, "junk\r\n\r\n"}, broker.ErrNoAnswer},
+		{"status 000", []string{whole, "HTTP/1.1 000 Failed\r\nContent-Length: 0\r\n\r\n"}, broker.ErrNoAnswer},
+		{"name with a blank", []string{whole, "HTTP/1.1 200 OK\r\nX A: 1\r\nContent-Length: 5\r\n\r\nwhole"}, broker.ErrNoAnswer},
+		{"length with a blank", []string{whole, "HTTP/1.1 200 OK\r\nContent-Length : 5\r\n\r\nwhole"}, broker.ErrNoAnswer},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/target/executor/answer.go
+++ b/internal/target/executor/answer.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/plantainwheel/plantainwheel/internal/route/transporter"
+	"github.com/plantainwheel/plantainwheel/internal/route/verifier"
 	"github.com/plantainwheel/plantainwheel/platform"
 )
 
@@ -16,6 +17,8 @@
 	DefectProtocol = "protocol"
 	// DefectStatus means a status that is not that of a final answer, for example 000, 101 or 600.
 	DefectStatus = "status"
+	// DefectHeader means a name of a field that is not valid, which net/http keeps without acting on the field.
+	DefectHeader = "header"
 	// DefectID means the ID of another request, or none.
 	DefectID = "id"
 	// DefectNoSeal means a success without the target's signature.
@@ -27,7 +30,7 @@
 )
 
 // Defects lists all defects.
-var Defects = []string{DefectProtocol, DefectStatus, DefectID, DefectNoSeal, DefectEncoding, DefectBody}
+var Defects = []string{DefectProtocol, DefectStatus, DefectHeader, DefectID, DefectNoSeal, DefectEncoding, DefectBody}
 
 // findDefect returns why the header of a response is not that of an answer of the target to the job, or "" if it is. All
 // responses of the target pass it, so that nothing else on their way has to distinguish answers from other bytes.
@@ -36,8 +39,10 @@
 	switch {
 	case resp.ProtoMajor != 1:
 		return DefectProtocol
-	case !transporter.IsFinalStatus(resp.StatusCode):
+	case !verifier.IsFinalStatus(resp.StatusCode):
 		return DefectStatus
+	case !verifier.HasValidNames(resp.Header):
+		return DefectHeader
 	case !hasOwnID(resp, job):
 		return DefectID
 	case success && resp.Header.Get(platform.SignatureHeader) == "":
--- a/internal/target/executor/cold.go
+++ b/internal/target/executor/cold.go
@@ -8,6 +8,7 @@
 
 	"github.com/plantainwheel/plantainwheel/internal/policy/warmer"
 	"github.com/plantainwheel/plantainwheel/internal/route/transporter"
+	"github.com/plantainwheel/plantainwheel/internal/route/verifier"
 	"github.com/plantainwheel/plantainwheel/platform"
 )
 
@@ -95,8 +96,11 @@
 	if err != nil {
 		return
 	}
-	_, _ = transporter.ReadBody(resp.Body, resp.ContentLength)
+	_, err = transporter.ReadBody(resp.Body, resp.ContentLength)
 	_ = resp.Body.Close()
+	if err != nil || verifier.CheckHeader(resp) != nil {
+		return
+	}
 	id, warmUp, ok := platform.DecodeHealth(resp.Header)
 	now := time.Now()
 	e.mu.Lock()
--- a/internal/target/executor/cold_test.go
+++ b/internal/target/executor/cold_test.go
@@ -32,6 +32,8 @@
 	warmUpMs atomic.Int64
 	// drop makes the target close the connection of the next request without a response.
 	drop atomic.Bool
+	// rawHealth, if set, is written as the health response.
+	rawHealth atomic.Pointer[string]
 
 	mu       sync.Mutex
 	arrivals []time.Time
@@ -60,6 +62,10 @@
 	if r.URL.Path == healthPath {
 		c.health = append(c.health, time.Now())
 		c.mu.Unlock()
+		if raw := c.rawHealth.Load(); raw != nil {
+			writeRaw(w, *raw)
+			return
+		}
 		w.Header().Set(platform.IncarnationHeader, "i-1")
 		w.Header().Set(platform.WarmUpHeader, fmt.Sprint(c.warmUpMs.Load()))
 		return
@@ -75,6 +81,16 @@
 	_, _ = io.WriteString(w, "ok")
 }
 
+// writeRaw writes a response as it is and closes the connection.
+func writeRaw(w http.ResponseWriter, raw string) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	_, _ = io.WriteString(conn, raw)
+}
+
 // since returns the number of requests from a time on and the largest number of them, with the health requests, within
 // any one second.
 func (c *coldTarget) since(from time.Time) (total, busiest int) {
@@ -272,6 +288,33 @@
 	assert.Assert(t, total > 100, "%d requests", total)
 }
 
+// TestMalformedHealth guards against a possibly cold target that is taken for warm because of a health response that net/http
+// accepts although its status or a name in its header is none, or that ends early.
+func TestMalformedHealth(t *testing.T) {
+	const fields = platform.IncarnationHeader + ": i-1\r\n" + platform.WarmUpHeader + ": 0\r\n"
+	for _, c := range []struct {
+		raw  string
+		cold bool
+	}{
+		{"HTTP/1.1 200 OK\r\n" + fields + "Content-Length: 2\r\n\r\nok", false},
+		{"HTTP/1.1 200 OK\r\n" + fields + "X A: 1\r\nContent-Length: 2\r\n\r\nok", true},
+		{"HTTP/1.1 000 OK\r\n" + fields + "Content-Length: 2\r\n\r\nok", true},
+		{"HTTP/1.1 200 OK\r\n" + fields + "Content-Length: 3\r\n\r\nok", true},
+	} {
+		t.Run(c.raw, func(t *testing.T) {
+			f := newColdFixture(t, 15, 0)
+			f.cold.rawHealth.Store(&c.raw)
+			f.executor.MarkPossiblyCold()
+			for f.cold.healthRequests() == 0 {
+				time.Sleep(time.Millisecond)
+			}
+			// The response is applied within the time of a health request.
+			time.Sleep(200 * time.Millisecond)
+			assert.Equal(t, f.executor.Load().Cold, c.cold)
+		})
+	}
+}
+
 // TestReturnAfterEvacuation guards against a flood on targets that have become cold while their data centre was evacuated.
 func TestReturnAfterEvacuation(t *testing.T) {
 	f := newColdFixture(t, 15, 0)
