Do not take the end of a connection that was reset for the end of a body

Cause: the kernel reports a reset once. A write of the upload that is blocked at that moment receives the error, and the read of the answer then sees a plain end. Ruled out: an upload that still flows (the read sees the reset, 502 each time), answers with a length or in chunks, which end early with an error.

Change: route/verifier.Conn records how writes end, and an Exchange lets the end of the connection end a body only if the whole request has been sent, no write has failed and none is in progress. The pool of connections to targets and nodes uses it, and so do the clients of the store, of calls between nodes and of the product's own interface. An early answer with a length or in chunks stays an answer.

--- a/internal/route/transporter/idle.go
+++ b/internal/route/transporter/idle.go
@@ -234,7 +234,7 @@
 // receivedWithin reports whether the kernel received data on the connection within the time. It returns true if the
 // connection is not one of the kernel.
 func (pc *pooledConn) receivedWithin(within time.Duration) bool {
-	conn, ok := pc.counter.Conn.(syscall.Conn)
+	conn, ok := pc.network.Conn.(syscall.Conn)
 	if !ok {
 		return true
 	}
--- a/internal/route/transporter/transporter.go
+++ b/internal/route/transporter/transporter.go
@@ -107,8 +107,8 @@
 // noUserAgent is an empty header.
 var noUserAgent = []string{""}
 
-// http returns the request as a net/http request to the address.
-func (r *Request) http(ctx context.Context, address string) *http.Request {
+// http returns the request as a net/http request to the address, which is a part of the exchange.
+func (r *Request) http(ctx context.Context, address string, x *verifier.Exchange) *http.Request {
 	req := &http.Request{
 		Method: r.Method,
 		URL:    &url.URL{Scheme: "http", Host: address, Opaque: r.URI},
@@ -121,10 +121,10 @@
 	}
 	switch {
 	case r.Body.Stream != nil:
-		req.Body = io.NopCloser(r.Body.Stream)
+		req.Body = x.RequestBody(io.NopCloser(r.Body.Stream))
 		req.ContentLength = r.Body.Length
 	case len(r.Body.Buffered) > 0:
-		req.Body = io.NopCloser(bytes.NewReader(r.Body.Buffered))
+		req.Body = x.RequestBody(io.NopCloser(bytes.NewReader(r.Body.Buffered)))
 		req.ContentLength = int64(len(r.Body.Buffered))
 	}
 	return req.WithContext(ctx)
@@ -157,8 +157,9 @@
 }
 
 type pooledConn struct {
-	conn    *http.ClientConn
-	counter *countedConn
+	conn *http.ClientConn
+	// network is the connection below conn.
+	network *verifier.Conn
 	// lastUsed is when the last answer began. The peer may have sent the end of a streamed answer long before it was read.
 	lastUsed time.Time
 	// keepAlive is the last Keep-Alive header, and maxIdle the idle time that it allows, or 0 if it states none.
@@ -168,17 +169,6 @@
 	reusedAfter time.Duration
 }
 
-// countedConn counts the calls of Write, so that Send can tell whether any byte of a request may have been written.
-type countedConn struct {
-	net.Conn
-	written atomic.Int64
-}
-
-func (c *countedConn) Write(b []byte) (int, error) {
-	c.written.Add(1)
-	return c.Conn.Write(b)
-}
-
 // pooledConnKey is the context key of the pooledConn that is being dialled.
 type pooledConnKey struct{}
 
@@ -204,11 +194,11 @@
 			if err != nil {
 				return nil, err
 			}
-			counted := &countedConn{Conn: conn}
+			verified := &verifier.Conn{Conn: conn}
 			if pc, ok := ctx.Value(pooledConnKey{}).(*pooledConn); ok {
-				pc.counter = counted
+				pc.network = verified
 			}
-			return counted, nil
+			return verified, nil
 		},
 	}
 }
@@ -242,10 +232,12 @@
 		p.put(address, pc)
 		return nil, reused, fmt.Errorf("%w: %w", ErrNotSent, ErrWithheld)
 	}
-	writtenBefore := pc.counter.written.Load()
-	resp, err = pc.conn.RoundTrip(r.http(ctx, address))
+	writesBefore := pc.network.Writes()
+	exchange := &verifier.Exchange{Conn: pc.network}
+	resp, err = pc.conn.RoundTrip(r.http(ctx, address, exchange))
 	if err != nil {
-		if pc.counter.written.Load() == writtenBefore {
+		if pc.network.Writes() == writesBefore {
+			// No byte of the request may have been sent.
 			p.discard(address, pc, ClosedByTarget)
 			return nil, reused, fmt.Errorf("%w: %w", ErrNotSent, err)
 		}
@@ -256,7 +248,7 @@
 		return nil, reused, fmt.Errorf("%w: %w", ErrNoAnswer, err)
 	}
 	pc.answered(resp.Header)
-	resp.Body = &pooledBody{ReadCloser: verifier.ResponseBody(resp), pool: p, address: address, pc: pc}
+	resp.Body = &pooledBody{ReadCloser: exchange.ResponseBody(resp), pool: p, address: address, pc: pc}
 	return resp, reused, nil
 }
 
--- a/internal/route/verifier/transport.go
+++ b/internal/route/verifier/transport.go
@@ -1,18 +1,50 @@
 package verifier
 
-import "net/http"
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+)
 
-// Transport is an http.Transport that returns an error in place of a response that is malformed.
+// Transport is an http.Transport that returns an error in place of a response that is malformed, and verifies the bodies of all
+// others.
 type Transport struct {
 	*http.Transport
 }
 
-// NewTransport returns a Transport that uses t.
-func NewTransport(t *http.Transport) *Transport { return &Transport{t} }
+// NewTransport returns a Transport that uses t, which must not have been used and must not be used in another way.
+func NewTransport(t *http.Transport) *Transport {
+	dial := t.DialContext
+	if dial == nil {
+		dial = (&net.Dialer{}).DialContext
+	}
+	t.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &Conn{Conn: c}, nil
+	}
+	return &Transport{t}
+}
 
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
-	resp, err := t.Transport.RoundTrip(r)
+	x := &Exchange{}
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { x.Conn, _ = info.Conn.(*Conn) }}
+	traced := r.WithContext(httptrace.WithClientTrace(r.Context(), trace))
+	traced.Body = x.RequestBody(r.Body)
+	if getBody := r.GetBody; getBody != nil {
+		traced.GetBody = func() (body io.ReadCloser, err error) {
+			if body, err = getBody(); err != nil {
+				return nil, err
+			}
+			return x.RequestBody(body), nil
+		}
+	}
+	resp, err := t.Transport.RoundTrip(traced)
 	if err != nil {
 		return nil, err
 	}
@@ -20,6 +52,6 @@
 		_ = resp.Body.Close()
 		return nil, err
 	}
-	resp.Body = ResponseBody(resp)
+	resp.Body = x.ResponseBody(resp)
 	return resp, nil
 }
--- a/internal/route/verifier/verifier_test.go
+++ b/internal/route/verifier/verifier_test.go
@@ -63,6 +63,8 @@
 		{"ends with the connection", "HTTP/1.1 200 OK\r\n\r\nok", 10, false, nil},
 		{"ends with the connection, no request body", "HTTP/1.1 200 OK\r\n\r\nok", 0, false, nil},
 		{"version 1.0", "HTTP/1.0 200 OK\r\n\r\nok", 10, false, nil},
+		{"reset while the request is sent", "HTTP/1.1 200 OK\r\n\r\nok", long, true, verifier.ErrIncomplete},
+		{"reset while the request is sent, version 1.0", "HTTP/1.0 200 OK\r\n\r\nok", long, true, verifier.ErrIncomplete},
 		{"status 000", "HTTP/1.1 000 Failed\r\nContent-Length: 0\r\n\r\n", 10, false, verifier.ErrMalformed},
 		{"status 600", "HTTP/1.1 600 Failed\r\nContent-Length: 0\r\n\r\n", 10, false, verifier.ErrMalformed},
 		{"name with a blank", "HTTP/1.1 200 OK\r\nX A: 1\r\nContent-Length: 2\r\n\r\nok", 10, false, verifier.ErrMalformed},
