Bound what the clients of each address may hold

Callers saw, in a trial by the users: clients that sent headers over the limit or without an end, or blank lines, ended a process, out of memory.

Cause: the operator's max_header_bytes and header_timeout_ms were not read and idle_timeout_ms was not used; constants applied (64 KiB, 10 s, 60 s). Nothing bounded the number of connections or the sum of what they hold, and all addresses shared one pool of descriptors with the target, the other nodes and the store. A field of three bytes costs about a hundred. A body that the node had refused was read away without a time limit, one forwarded by another node too.

Change: policy/evictor decides which connection goes, node/acceptor counts what each has sent and closes or answers it. A connection whose request may have been passed on keeps its place; both are decided under one lock. Each address has a share of the descriptors and the memory.

Ruled out by the first play with the change: closing a victim while its goroutine has not been scheduled yet counted as occupied, so that each new connection evicted another one.

--- a/internal/caller/gateway/body.go
+++ b/internal/caller/gateway/body.go
@@ -65,10 +65,7 @@
 // is too long or does not arrive by the request's deadline. The rest of a stream must also arrive by then, since net/http
 // returns from a request that has timed out only once its body has been read or has failed.
 func (g *Gateway) readBody(q *request) *refusal {
-	limit := int64(transporter.MaxBufferedBytes)
-	if g.stop.Load() != nil {
-		limit = stopBufferedBytes
-	}
+	limit := g.BufferedBytes()
 	body := io.Reader(q.r.Body)
 	if q.r.ContentLength != 0 {
 		// Writers of tests have no deadlines.
@@ -97,3 +94,11 @@
 	}
 	return nil
 }
+
+// BufferedBytes returns the size in bytes up to which a body is read in full before the request is passed on.
+func (g *Gateway) BufferedBytes() int64 {
+	if g.stop.Load() != nil {
+		return stopBufferedBytes
+	}
+	return transporter.MaxBufferedBytes
+}
--- a/internal/caller/gateway/refusal.go
+++ b/internal/caller/gateway/refusal.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"net/http"
 	"strconv"
 	"time"
 
@@ -38,6 +39,11 @@
 	forwarder.WriteBody(q.w, &transporter.Answer{Status: v.status})
 }
 
+// RefuseUnread refuses a request before its body is read. The request has not run.
+func (g *Gateway) RefuseUnread(w http.ResponseWriter, r *http.Request, reason string) {
+	g.refuse(&request{w: w, r: r, start: time.Now()}, &refusal{http.StatusServiceUnavailable, reason, transientRetryAfter})
+}
+
 // retryAfter returns the retry delay for a request that has not run.
 func retryAfter(reason string) time.Duration {
 	switch reason {
--- /dev/null
+++ b/internal/node/acceptor/conn.go
@@ -0,0 +1,111 @@
+package acceptor
+
+import (
+	"errors"
+	"net"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/plantainwheel/plantainwheel/internal/policy/evictor"
+	"golang.org/x/sys/unix"
+)
+
+var errHeaderTooLarge = errors.New("request header is too large")
+
+// longAgo is a deadline that has passed.
+var longAgo = time.Unix(1, 0)
+
+// conn is an accepted connection.
+type conn struct {
+	net.Conn
+	acceptor *Acceptor
+	entry    *evictor.Entry
+	// headerBytes counts what has been received of the current header, and handled is set while a handler works on the request.
+	// The acceptor's mutex guards them.
+	headerBytes int
+	handled     bool
+	// interrupted is set once the connection must not be read from any more.
+	interrupted atomic.Bool
+}
+
+// Read implements net.Conn. It refuses a header that is too large.
+func (c *conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n == 0 || c.acceptor.received(c, b[:n]) {
+		return n, err
+	}
+	c.acceptor.count(HeaderTooLarge)
+	c.writeNow(headerTooLarge)
+	c.linger(b)
+	// net/http doesn't answer errors of this kind.
+	return 0, &net.OpError{Op: "read", Net: "tcp", Err: errHeaderTooLarge}
+}
+
+// linger ends the connection's sending side and reads for a while, since closing a connection with unread bytes resets it, and
+// the client might not receive the refusal.
+func (c *conn) linger(b []byte) {
+	if c.CloseWrite() != nil {
+		return
+	}
+	_ = c.SetReadDeadline(time.Now().Add(lingerTime))
+	for total := 0; total < lingerBytes; {
+		n, err := c.Conn.Read(b)
+		if err != nil {
+			return
+		}
+		total += n
+	}
+}
+
+// CloseWrite ends the sending side of the connection.
+func (c *conn) CloseWrite() error {
+	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return w.CloseWrite()
+	}
+	return errors.ErrUnsupported
+}
+
+// SetReadDeadline implements net.Conn. An interrupted connection keeps its deadline.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	err := c.Conn.SetReadDeadline(t)
+	if c.interrupted.Load() {
+		return c.Conn.SetReadDeadline(longAgo)
+	}
+	return err
+}
+
+// interrupt ends all reads.
+func (c *conn) interrupt() {
+	c.interrupted.Store(true)
+	_ = c.Conn.SetReadDeadline(longAgo)
+}
+
+// Write implements net.Conn. The connection of a client that does not read may be closed meanwhile.
+func (c *conn) Write(b []byte) (int, error) {
+	a := c.acceptor
+	a.mu.Lock()
+	a.evictor.Write(time.Now(), c.entry)
+	a.mu.Unlock()
+	n, err := c.Conn.Write(b)
+	a.mu.Lock()
+	a.evictor.Written(c.entry)
+	a.mu.Unlock()
+	return n, err
+}
+
+// writeNow writes what the send buffer takes without waiting.
+func (c *conn) writeNow(text string) {
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return
+	}
+	_ = raw.Write(func(fd uintptr) bool {
+		_, _ = unix.Write(int(fd), []byte(text))
+		return true
+	})
+}
--- a/internal/node/attendant/attendant.go
+++ b/internal/node/attendant/attendant.go
@@ -106,6 +106,8 @@
 	targetLogLimiter loglimiter.Limiter
 	// invalidLogLimiter limits the log lines on responses of the target that are no answers.
 	invalidLogLimiter loglimiter.Limiter
+	// acceptorLogLimiter limits the log lines on clients that are refused or disconnected.
+	acceptorLogLimiter loglimiter.Limiter
 
 	// evacuations is nil in deployments without evacuations.
 	evacuations *keeper.Evacuations
@@ -153,6 +155,7 @@
 	a.silentMembers = a.Metrics.NewGauge("rate_limit_silent_members", nil)
 	a.targetLogLimiter.PerSecond = targetLinesPerSecond
 	a.invalidLogLimiter.PerSecond = targetLinesPerSecond
+	a.acceptorLogLimiter.PerSecond = acceptorLinesPerSecond
 	a.keeper = &keeper.Keeper{Decode: platform.DecodeConfig}
 	a.tracker = &tracker.Tracker{Self: cfg.Node, DataCentre: cfg.DataCentre, ReportTimeout: nodeSilenceTimeout}
 	targets := executor.NewPool(a.Metrics)
@@ -313,11 +316,14 @@
 	return names
 }
 
-// housekeep closes idle connections and logs the load.
+// housekeep closes idle and overdue connections and logs the load.
 func (a *Attendant) housekeep() {
 	for _, p := range a.pools {
 		p.CloseExpired()
 	}
+	for _, s := range a.servers {
+		s.acceptor.Expire(time.Now())
+	}
 	a.boundConnections()
 	a.isolator.Tick()
 	a.logLoad()
--- a/internal/node/attendant/server.go
+++ b/internal/node/attendant/server.go
@@ -7,8 +7,10 @@
 	"fmt"
 	"io"
 	stdlog "log"
+	"math"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -16,18 +18,23 @@
 	"syscall"
 	"time"
 
+	"github.com/plantainwheel/plantainwheel/internal/node/acceptor"
 	"github.com/plantainwheel/plantainwheel/internal/node/timekeeper"
 	"github.com/plantainwheel/plantainwheel/internal/peer/adviser"
 	"github.com/plantainwheel/plantainwheel/internal/peer/distributor"
 	"github.com/plantainwheel/plantainwheel/internal/peer/forwarder"
 	"github.com/plantainwheel/plantainwheel/internal/platform/watcher"
+	"github.com/plantainwheel/plantainwheel/internal/route/transporter"
 	"github.com/plantainwheel/plantainwheel/platform"
 	"golang.org/x/sys/unix"
 )
 
 const (
-	maxHeaderBytes    = 64 << 10
-	readHeaderTimeout = 10 * time.Second
+	// maxHeaderBytes bounds any header limit that an operator sets.
+	maxHeaderBytes = 1 << 20
+	// defaultHeaderBytes and defaultHeaderTimeout apply where the operator's limits are not known.
+	defaultHeaderBytes   = 64 << 10
+	defaultHeaderTimeout = 10 * time.Second
 	// idleTimeout is longer than the time for which clients and other nodes keep an idle connection.
 	idleTimeout = 60 * time.Second
 	// keepAliveInterval is the interval of the TCP keep-alive probes that detect lost clients.
@@ -45,9 +52,11 @@
 	maxAcceptDelay = 200 * time.Millisecond
 	// maxAnnouncementBytes is the maximum size of an announcement's body.
 	maxAnnouncementBytes = 64 << 10
-	// maxControlBytes is the maximum size of the body of a control call, and controlTimeout the maximum time to read it.
-	maxControlBytes = 64 << 10
-	controlTimeout  = 5 * time.Second
+	// maxControlBytes is the maximum size of the body of a control call, maxControlHeaderBytes that of its header, and
+	// controlTimeout the maximum time to read either.
+	maxControlBytes       = 64 << 10
+	maxControlHeaderBytes = 16 << 10
+	controlTimeout        = 5 * time.Second
 	// controlCloseTime is how long a closing server waits for control calls. Other nodes wait for records of the store in
 	// calls that take seconds, and a stop must not wait for them.
 	controlCloseTime = 150 * time.Millisecond
@@ -61,6 +70,10 @@
 	name    string
 	address string
 	http    *http.Server
+	// acceptor bounds what the clients take up, and receiveBytes is the size of the kernel's receive buffer of a connection, or
+	// 0 for its default.
+	acceptor     *acceptor.Acceptor
+	receiveBytes int
 	// listener is the listening socket, and accepted is closed when no further connection of it is accepted.
 	listener net.Listener
 	accepted chan struct{}
@@ -78,17 +91,33 @@
 
 func newServer(name, address string, h http.Handler) *server {
 	s := &server{name: name, address: address, accepted: make(chan struct{}), conns: map[net.Conn]time.Time{}}
+	s.acceptor = &acceptor.Acceptor{
+		MaxConns: math.MaxInt32, MaxBytes: math.MaxInt64, Limits: defaultLimits, Refuse: refuse,
+		BufferedBytes: func() int64 { return transporter.MaxBufferedBytes },
+	}
 	s.http = &http.Server{
-		Handler:           s.whileOpen(h),
-		MaxHeaderBytes:    maxHeaderBytes,
-		ReadHeaderTimeout: readHeaderTimeout,
-		IdleTimeout:       idleTimeout,
-		ErrorLog:          stdlog.New(io.Discard, "", 0),
-		ConnState:         s.recordState,
+		Handler:        s.acceptor.Handler(s.whileOpen(h)),
+		MaxHeaderBytes: maxHeaderBytes,
+		ErrorLog:       stdlog.New(io.Discard, "", 0),
+		ConnState:      s.recordState,
+		ConnContext:    s.acceptor.ConnContext,
 	}
 	return s
 }
 
+// defaultLimits returns the limits where those of the operator are not known.
+func defaultLimits() acceptor.Limits {
+	return acceptor.Limits{HeaderBytes: defaultHeaderBytes, HeaderTimeout: defaultHeaderTimeout, IdleTimeout: idleTimeout}
+}
+
+// controlLimits returns the limits on control calls.
+func controlLimits() acceptor.Limits {
+	return acceptor.Limits{HeaderBytes: maxControlHeaderBytes, HeaderTimeout: controlTimeout, IdleTimeout: idleTimeout}
+}
+
+// refuse answers a control call for which there is no room.
+func refuse(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) }
+
 // whileOpen serves requests with h until the server closes its connections. A request that is read only then is given up
 // before anything is done for it.
 func (s *server) whileOpen(h http.Handler) http.Handler {
@@ -105,6 +134,7 @@
 
 // recordState records that the connection has changed its state.
 func (s *server) recordState(c net.Conn, state http.ConnState) {
+	s.acceptor.RecordState(c, state)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch state {
@@ -132,13 +162,13 @@
 // newControlServer returns a server for small requests, which bounds their size and the time to read them.
 func newControlServer(name, address string, h http.Handler) *server {
 	s := newServer(name, address, http.MaxBytesHandler(h, maxControlBytes))
-	s.http.ReadTimeout = controlTimeout
+	s.acceptor.Limits = controlLimits
 	s.maxCloseTime = controlCloseTime
 	return s
 }
 
 func (s *server) open() error {
-	lc := net.ListenConfig{Control: setSendBuffer, KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: 2}}
+	lc := net.ListenConfig{Control: s.setBuffers, KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: 2}}
 	l, err := lc.Listen(context.Background(), "tcp4", s.address)
 	if err != nil {
 		return fmt.Errorf("listen for %s: %w", s.name, err)
@@ -151,17 +181,20 @@
 	s.listener = l
 	go func() {
 		defer close(s.accepted)
-		_ = s.http.Serve(l)
+		_ = s.http.Serve(s.acceptor.Listener(l))
 	}()
 }
 
-// setSendBuffer bounds the kernel's send buffer of each accepted connection, which inherits it.
-func setSendBuffer(_, _ string, c syscall.RawConn) error {
-	var sockErr error
+// setBuffers bounds the kernel's buffers of each accepted connection, which inherits them.
+func (s *server) setBuffers(_, _ string, c syscall.RawConn) error {
+	var sendErr, receiveErr error
 	err := c.Control(func(fd uintptr) {
-		sockErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_SNDBUF, sendBytes)
+		sendErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_SNDBUF, sendBytes)
+		if s.receiveBytes > 0 {
+			receiveErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, s.receiveBytes)
+		}
 	})
-	return errors.Join(err, sockErr)
+	return errors.Join(err, sendErr, receiveErr)
 }
 
 // close shuts the server down when none of its connections is in use or the deadline has passed. Idle connections do not
@@ -234,14 +267,18 @@
 	figures := http.NewServeMux()
 	figures.HandleFunc("/", a.writeMetrics)
 	figures.HandleFunc("GET "+quarantinePath, a.writeQuarantine)
-	list := []*server{
-		newControlServer("metrics", cfg.IP+":"+strconv.Itoa(cfg.MetricsPort), figures),
-		newControlServer("control", a.controlAddress(), control),
-		newControlServer("announcements", cfg.AnnounceListen, announce),
-		newServer("peer requests", cfg.InboundListen, &forwarder.Server{Executor: a.executor, Process: a.reporter.Started}),
-		newServer("client requests", cfg.OutboundListen, a.gateway),
+	peers := newServer("peer requests", cfg.InboundListen, &forwarder.Server{Executor: a.executor, Process: a.reporter.Started})
+	peers.acceptor.Limits, peers.acceptor.Refuse = a.peerLimits, refusePeer
+	callers := newServer("client requests", cfg.OutboundListen, a.gateway)
+	callers.acceptor.Limits, callers.acceptor.Refuse, callers.acceptor.BufferedBytes = a.callerLimits, a.refuseCaller, a.gateway.BufferedBytes
+	return []*server{
+		a.boundServer(newControlServer("metrics", cfg.IP+":"+strconv.Itoa(cfg.MetricsPort), figures), smallShare),
+		a.boundServer(newControlServer("control", a.controlAddress(), control), controlShare),
+		a.boundServer(newControlServer("announcements", cfg.AnnounceListen, announce), smallShare),
+		a.boundServer(peers, peerShare),
+		a.boundServer(callers, callerShare),
+		a.boundServer(newControlServer("readiness", cfg.ReadyListen, ready), smallShare),
 	}
-	return append(list, newControlServer("readiness", cfg.ReadyListen, ready))
 }
 
 func (a *Attendant) writeMetrics(w http.ResponseWriter, _ *http.Request) {
@@ -291,6 +328,10 @@
 // handleAnnounce handles an announcement of the target.
 func (a *Attendant) handleAnnounce(w http.ResponseWriter, r *http.Request) {
 	raw, err := io.ReadAll(io.LimitReader(r.Body, maxAnnouncementBytes))
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		w.WriteHeader(http.StatusRequestTimeout)
+		return
+	}
 	if err != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
--- a/internal/peer/forwarder/server.go
+++ b/internal/peer/forwarder/server.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"time"
 
@@ -30,10 +31,18 @@
 		w.WriteHeader(http.StatusForbidden)
 		return
 	}
+	if r.ContentLength != 0 {
+		// Writers of tests have no deadlines.
+		_ = http.NewResponseController(w).SetReadDeadline(job.Deadline)
+	}
 	body, err := transporter.ReadBody(r.Body, r.ContentLength)
 	if err == nil {
 		err = body.Peek()
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		s.writeAnswer(w, transporter.NotRunAnswer(executor.ReasonDeadlinePassed), time.Since(start))
+		return
+	}
 	if err != nil {
 		// The request body could not be read in full.
 		panic(http.ErrAbortHandler)
@@ -98,6 +107,12 @@
 	WriteBody(w, a)
 }
 
+// WriteRefusal answers a forwarded request that has not run, before anything of it is looked at.
+func WriteRefusal(w http.ResponseWriter, reason string) {
+	w.Header()[hopHeader] = []string{encodeAnswerHop(answerHop{outcome: outcomeNotRun, reason: reason})}
+	WriteBody(w, hopAnswer)
+}
+
 // hopAnswer carries an outcome that is not an answer of the target to the other node.
 var hopAnswer = &transporter.Answer{Status: http.StatusOK}
 
--- a/internal/route/matcher/matcher.go
+++ b/internal/route/matcher/matcher.go
@@ -70,9 +70,12 @@
 	Burst float64
 }
 
-// Limits holds the limits on the requests and connections of clients.
+// Limits holds the limits on the requests and connections of clients. A limit of 0 is not set.
 type Limits struct {
-	MaxBodyBytes int64
+	MaxHeaderBytes int
+	MaxBodyBytes   int64
+	// HeaderTimeout is the maximum time that the header of a request may take.
+	HeaderTimeout time.Duration
 	// IdleTimeout is how long a connection without requests is kept open.
 	IdleTimeout time.Duration
 }
