Let the buffer of a body grow with what arrives

Callers saw: nothing yet; each request of a hundred bytes that declares a body of 64 KiB took 64 KiB at once, at any address that reads bodies, so 3,000 such requests took more than the smallest VM has.

Cause: ReadBody allocated the declared length.

Change: the buffer begins with 4 KiB and doubles as bytes arrive.

--- a/internal/route/transporter/answer.go
+++ b/internal/route/transporter/answer.go
@@ -15,6 +15,9 @@
 // reported instead of a truncated body.
 const MaxBufferedBytes = 64 << 10
 
+// firstBytes is the size of the buffer with which reading a body begins.
+const firstBytes = 4 << 10
+
 // Answer is the result of sending a request.
 type Answer struct {
 	// NotRun reports that no target has run the request or will run it. Such an answer has no status.
@@ -61,8 +64,8 @@
 		return Body{Stream: r, Length: length}, nil
 	}
 	if length > 0 {
-		body := make([]byte, length)
-		if _, err := io.ReadFull(r, body); err != nil {
+		body, err := readFull(r, length)
+		if err != nil {
 			return Body{}, err
 		}
 		return Body{Buffered: body}, readEnd(r)
@@ -79,6 +82,21 @@
 	}
 }
 
+// readFull reads length bytes. Its buffer grows with what arrives, not with what is declared.
+func readFull(r io.Reader, length int64) ([]byte, error) {
+	body := make([]byte, min(length, firstBytes))
+	for n := int64(0); ; {
+		if _, err := io.ReadFull(r, body[n:]); err != nil {
+			return nil, err
+		}
+		if n = int64(len(body)); n == length {
+			return body, nil
+		}
+		body = append(make([]byte, 0, min(2*n, length)), body...)
+		body = body[:cap(body)]
+	}
+}
+
 // readEnd reads EOF, after which the connection can be reused. It returns an error if there is more data.
 func readEnd(r io.Reader) error {
 	n, err := r.Read(make([]byte, 1))
