Give up the processor before a request sent ahead of the last answer

Callers saw: beside clients that send requests in a row and read no answer, an ordinary request got no answer in 40 s, and what the clients had sent waited in the kernel, on connections that were accepted late.

Cause: a connection whose next request is there already never waits, so its goroutine keeps the processor until it is preempted. 200 of them take turns of 10 ms each on a VM with one core, and the goroutine that accepts connections is one among them.

Change: before a request that was sent ahead of the last answer, the goroutine yields. Ordinary clients don't pay for it.

--- a/internal/node/acceptor/acceptor.go
+++ b/internal/node/acceptor/acceptor.go
@@ -204,7 +204,8 @@
 	case http.StateIdle:
 		c.headerBytes = 0
 		c.handled = false
-		a.evictor.Idle(time.Now(), c.entry)
+		c.answeredAt = time.Now()
+		a.evictor.Idle(c.answeredAt, c.entry)
 	case http.StateClosed, http.StateHijacked:
 		a.remove(c)
 	}
--- a/internal/node/acceptor/conn.go
+++ b/internal/node/acceptor/conn.go
@@ -13,6 +13,9 @@
 
 var errHeaderTooLarge = errors.New("request header is too large")
 
+// pipeliningPause is the time after an answer within which a request must have been sent before the answer was read.
+const pipeliningPause = 100 * time.Microsecond
+
 // longAgo is a deadline that has passed.
 var longAgo = time.Unix(1, 0)
 
@@ -25,6 +28,8 @@
 	// The acceptor's mutex guards them.
 	headerBytes int
 	handled     bool
+	// answeredAt is when the latest request was answered. Only the connection's goroutine uses it.
+	answeredAt time.Time
 	// interrupted is set once the connection must not be read from any more.
 	interrupted atomic.Bool
 }
@@ -75,6 +80,11 @@
 	return err
 }
 
+// isPipelining reports whether the client has sent its request without waiting for the answer to the one before.
+func (c *conn) isPipelining() bool {
+	return !c.answeredAt.IsZero() && time.Since(c.answeredAt) < pipeliningPause
+}
+
 // interrupt ends all reads.
 func (c *conn) interrupt() {
 	c.interrupted.Store(true)
--- a/internal/node/acceptor/handler.go
+++ b/internal/node/acceptor/handler.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"os"
+	"runtime"
 	"time"
 
 	"github.com/plantainwheel/plantainwheel/internal/policy/evictor"
@@ -22,6 +23,11 @@
 			// The server reads what is left of a body, also after a refusal. Handlers that read it set a deadline of their own.
 			_ = c.SetReadDeadline(time.Now().Add(a.Limits().HeaderTimeout))
 		}
+		if c.isPipelining() {
+			// Otherwise a client that sends requests without a pause keeps the processor until it is preempted, and the
+			// connections of others are accepted late.
+			runtime.Gosched()
+		}
 		limit := a.BufferedBytes()
 		unread := r.ContentLength < 0 || (r.ContentLength > 0 && r.ContentLength <= limit)
 		switch a.begin(c, unread) {
