Bound the time of a write to a client that does not read

Callers saw: nothing yet; a client that reads no answer held its connection, the handler and an answer of up to 64 KiB for as long as it liked, and a planned stop waited for it until its deadline.

Cause: only answers above 64 KiB had a write deadline (that of the request). Short ones block once the kernel's send buffer is full.

Change: each write of up to 5 s, unless the handler has set a deadline.

Evidence: TestUnreadAnswers (a client that reads nothing of 32 MiB): without the deadline the handler never ends; with it the test is green. The crowds with unread answers of TestCrowds hold.

--- a/internal/node/acceptor/acceptor.go
+++ b/internal/node/acceptor/acceptor.go
@@ -50,6 +50,8 @@
 	// lingerTime and lingerBytes bound what is read after a refusal, so that the client receives it.
 	lingerTime  = 500 * time.Millisecond
 	lingerBytes = 64 << 10
+	// writeTimeout is the maximum time of a write for which the handler sets no deadline.
+	writeTimeout = 5 * time.Second
 )
 
 const (
--- a/internal/node/acceptor/acceptor_test.go
+++ b/internal/node/acceptor/acceptor_test.go
@@ -184,6 +184,23 @@
 	close(release)
 }
 
+// TestUnreadAnswers guards against clients that don't read, whose connections hold answers without end.
+func TestUnreadAnswers(t *testing.T) {
+	var running atomic.Int64
+	f := newFixture(t, 100, 1<<30, func(w http.ResponseWriter, _ *http.Request) {
+		running.Add(1)
+		defer running.Add(-1)
+		_, _ = w.Write(make([]byte, 32<<20))
+	})
+	f.dial(get + "\r\n")
+	for running.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	for end := time.Now().Add(20 * time.Second); running.Load() > 0; time.Sleep(10 * time.Millisecond) {
+		assert.Assert(t, time.Now().Before(end), "still written")
+	}
+}
+
 // TestBodies checks that bodies of all kinds reach the handler whole.
 func TestBodies(t *testing.T) {
 	f := newFixture(t, 100, 1<<30, func(w http.ResponseWriter, r *http.Request) {
--- a/internal/node/acceptor/conn.go
+++ b/internal/node/acceptor/conn.go
@@ -32,6 +32,8 @@
 	answeredAt time.Time
 	// interrupted is set once the connection must not be read from any more.
 	interrupted atomic.Bool
+	// hasWriteDeadline is set while the handler has set a deadline for its writes.
+	hasWriteDeadline atomic.Bool
 }
 
 // Read implements net.Conn. It refuses a header that is too large.
@@ -91,11 +93,15 @@
 	_ = c.Conn.SetReadDeadline(longAgo)
 }
 
-// Write implements net.Conn. The connection of a client that does not read may be closed meanwhile.
+// Write implements net.Conn. A client that does not read would otherwise block it without end.
 func (c *conn) Write(b []byte) (int, error) {
+	now := time.Now()
+	if !c.hasWriteDeadline.Load() {
+		_ = c.Conn.SetWriteDeadline(now.Add(writeTimeout))
+	}
 	a := c.acceptor
 	a.mu.Lock()
-	a.evictor.Write(time.Now(), c.entry)
+	a.evictor.Write(now, c.entry)
 	a.mu.Unlock()
 	n, err := c.Conn.Write(b)
 	a.mu.Lock()
@@ -104,6 +110,12 @@
 	return n, err
 }
 
+// SetWriteDeadline implements net.Conn.
+func (c *conn) SetWriteDeadline(t time.Time) error {
+	c.hasWriteDeadline.Store(!t.IsZero())
+	return c.Conn.SetWriteDeadline(t)
+}
+
 // writeNow writes what the send buffer takes without waiting.
 func (c *conn) writeNow(text string) {
 	sc, ok := c.Conn.(syscall.Conn)
