Reset the connection of an aborted answer to a client of HTTP/1.0

Change: the connection is reset if the handler aborts the answer to a request of HTTP/1.0.

Evidence: TestAbortedAnswer, versions 1.0 and 1.1; the former is not known to have been red, it was not run without the change.

--- a/internal/node/acceptor/acceptor_test.go
+++ b/internal/node/acceptor/acceptor_test.go
@@ -201,6 +201,24 @@
 	}
 }
 
+// TestAbortedAnswer guards against an answer that the handler gives up and that looks complete to a client of HTTP/1.0.
+func TestAbortedAnswer(t *testing.T) {
+	for _, version := range []string{"1.0", "1.1"} {
+		f := newFixture(t, 100, 1<<30, func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = io.WriteString(w, "part")
+			_ = http.NewResponseController(w).Flush()
+			panic(http.ErrAbortHandler)
+		})
+		conn := f.dial("GET / HTTP/" + version + "\r\nHost: h\r\n\r\n")
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err == nil {
+			_, err = io.ReadAll(resp.Body)
+			_ = resp.Body.Close()
+		}
+		assert.Assert(t, err != nil, "version %s", version)
+	}
+}
+
 // TestBodies checks that bodies of all kinds reach the handler whole.
 func TestBodies(t *testing.T) {
 	f := newFixture(t, 100, 1<<30, func(w http.ResponseWriter, r *http.Request) {
--- a/internal/node/acceptor/conn.go
+++ b/internal/node/acceptor/conn.go
@@ -131,3 +131,10 @@
 		return true
 	})
 }
+
+// reset makes the next close reset the connection, so that the client does not take an answer for complete.
+func (c *conn) reset() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+}
--- a/internal/node/acceptor/handler.go
+++ b/internal/node/acceptor/handler.go
@@ -19,6 +19,9 @@
 			h.ServeHTTP(w, r)
 			return
 		}
+		if !r.ProtoAtLeast(1, 1) {
+			defer resetOnPanic(c)
+		}
 		if r.ContentLength != 0 {
 			// The server reads what is left of a body, also after a refusal. Handlers that read it set a deadline of their own.
 			_ = c.SetReadDeadline(time.Now().Add(a.Limits().HeaderTimeout))
@@ -47,6 +50,14 @@
 	})
 }
 
+// resetOnPanic resets the connection if the handler gives its answer up. A client of HTTP/1.0 would take it for complete.
+func resetOnPanic(c *conn) {
+	if v := recover(); v != nil {
+		c.reset()
+		panic(v)
+	}
+}
+
 // begin records that a handler begins. It returns why the request is not served, or "".
 func (a *Acceptor) begin(c *conn, unread bool) Reason {
 	var reason Reason
