End writes on a connection that others need within half a second

An evicted connection whose handler still writes a refusal to a client that does not read was closed only after the 5 s of any write. If all connections of an address are such, no new one was taken meanwhile, longer than the 3 s after which a ready node should take connections.

Change: evicting a connection also bounds its writes, to 0.5 s.

--- a/internal/node/acceptor/acceptor.go
+++ b/internal/node/acceptor/acceptor.go
@@ -50,8 +50,10 @@
 	// lingerTime and lingerBytes bound what is read after a refusal, so that the client receives it.
 	lingerTime  = 500 * time.Millisecond
 	lingerBytes = 64 << 10
-	// writeTimeout is the maximum time of a write for which the handler sets no deadline.
-	writeTimeout = 5 * time.Second
+	// writeTimeout is the maximum time of a write for which the handler sets no deadline, evictedWriteTimeout that on a connection
+	// that others need.
+	writeTimeout        = 5 * time.Second
+	evictedWriteTimeout = 500 * time.Millisecond
 )
 
 const (
--- a/internal/node/acceptor/conn.go
+++ b/internal/node/acceptor/conn.go
@@ -87,16 +87,20 @@
 	return !c.answeredAt.IsZero() && time.Since(c.answeredAt) < pipeliningPause
 }
 
-// interrupt ends all reads.
+// interrupt ends all reads, and soon a write in progress.
 func (c *conn) interrupt() {
 	c.interrupted.Store(true)
 	_ = c.Conn.SetReadDeadline(longAgo)
+	_ = c.Conn.SetWriteDeadline(time.Now().Add(evictedWriteTimeout))
 }
 
 // Write implements net.Conn. A client that does not read would otherwise block it without end.
 func (c *conn) Write(b []byte) (int, error) {
 	now := time.Now()
-	if !c.hasWriteDeadline.Load() {
+	switch {
+	case c.interrupted.Load():
+		_ = c.Conn.SetWriteDeadline(now.Add(evictedWriteTimeout))
+	case !c.hasWriteDeadline.Load():
 		_ = c.Conn.SetWriteDeadline(now.Add(writeTimeout))
 	}
 	a := c.acceptor
