--- a/internal/node/attendant/early_answer_test.go
+++ b/internal/node/attendant/early_answer_test.go
@@ -70,8 +70,8 @@
 	_, _ = c.Read(make([]byte, 1))
 }
 
-// upload sends a request with a long body and returns its answer. err is set if the answer is not complete.
-func upload(address string) (status int, body []byte, err error) {
+// upload sends a request with a long body to the path and returns its answer. err is set if the answer is not complete.
+func upload(address, path string) (status int, body []byte, err error) {
 	conn, err := net.Dial("tcp4", address)
 	if err != nil {
 		return 0, nil, err
@@ -79,7 +79,7 @@
 	defer conn.Close()
 	_ = conn.SetDeadline(time.Now().Add(10 * time.Second))
 	go func() {
-		_, _ = fmt.Fprintf(conn, "POST /a/1 HTTP/1.1\r\nHost: h.example\r\nAuthorization: Bearer key\r\nX-Plantainwheel-Request-Id: id\r\nContent-Length: %d\r\n\r\n", uploadBytes)
+		_, _ = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: h.example\r\nAuthorization: Bearer key\r\nX-Plantainwheel-Request-Id: id\r\nContent-Length: %d\r\n\r\n", path, uploadBytes)
 		block := make([]byte, 64<<10)
 		for range uploadBytes / len(block) {
 			if _, err := conn.Write(block); err != nil {
@@ -130,8 +130,10 @@
 				var status int
 				var answer []byte
 				var err error
+				// A target that resets connections looks crashed, and another request with the same path is quarantined.
+				path := fmt.Sprint("/a/", incarnations)
 				f.eventually("upload passed on", func() bool {
-					status, answer, err = upload(f.nodes[entry].Settings.OutboundListen)
+					status, answer, err = upload(f.nodes[entry].Settings.OutboundListen, path)
 					// The entry node may not know the new incarnation yet.
 					return status != http.StatusServiceUnavailable
 				})
