Derive receive buffers from memory and descriptors instead of fewer connections

Cause: the bound on connections followed from a receive buffer of 64 KiB each.

Change: the buffer follows from the memory and the number of connections, 16 to 64 KiB, and the shares of the descriptors are 32% and 28%: 1,248 and 1,092 connections on the smallest VM. What the buffers of an address take together is bounded as before.

Evidence: TestShares.

--- a/internal/node/attendant/capacity.go
+++ b/internal/node/attendant/capacity.go
@@ -31,13 +31,17 @@
 	// unread is the share of the memory for bytes that the kernel has received and the server has not read, requests that for
 	// requests in progress.
 	unread, requests float64
-	// receiveBytes is the size of the kernel's receive buffer of a connection.
+	// receiveBytes is the maximum size of the kernel's receive buffer of a connection.
 	receiveBytes int
 }
 
+// minReceiveBytes is the minimum size of the kernel's receive buffer of a connection. On a VM with little memory there are fewer
+// connections instead.
+const minReceiveBytes = 16 << 10
+
 var (
-	callerShare  = share{descriptors: 0.28, unread: 0.2, requests: 0.11, receiveBytes: 64 << 10}
-	peerShare    = share{descriptors: 0.24, unread: 0.2, requests: 0.09, receiveBytes: 64 << 10}
+	callerShare  = share{descriptors: 0.32, unread: 0.2, requests: 0.11, receiveBytes: 64 << 10}
+	peerShare    = share{descriptors: 0.28, unread: 0.2, requests: 0.09, receiveBytes: 64 << 10}
 	controlShare = share{descriptors: 0.05, unread: 0.02, requests: 0.02, receiveBytes: 16 << 10}
 	// smallShare is for servers that the platform and the target call a few times in a second.
 	smallShare = share{descriptors: 0.02, unread: 0.01, requests: 0.01, receiveBytes: 16 << 10}
@@ -46,10 +50,11 @@
 // apply sets the bounds of a server on a VM with the given number of descriptors and memory in MiB.
 func (s *share) apply(srv *server, descriptors, memoryMB int) {
 	memory := float64(memoryMB) * (1 << 20)
-	conns := s.descriptors * float64(max(descriptors-fileDescriptors, 0))
-	srv.acceptor.MaxConns = max(int(min(conns, s.unread*memory/float64(s.receiveBytes))), 1)
+	conns := max(s.descriptors*float64(descriptors-fileDescriptors), 1)
+	receiveBytes := min(max(s.unread*memory/conns, minReceiveBytes), float64(s.receiveBytes))
+	srv.receiveBytes = int(receiveBytes)
+	srv.acceptor.MaxConns = max(int(min(conns, s.unread*memory/receiveBytes)), 1)
 	srv.acceptor.MaxBytes = int64(s.requests * memory)
-	srv.receiveBytes = s.receiveBytes
 }
 
 // descriptors returns the number of file descriptors that the process may open.
--- a/internal/node/attendant/server_test.go
+++ b/internal/node/attendant/server_test.go
@@ -220,3 +220,24 @@
 		assert.Equal(t, unaccepted(l), left)
 	}
 }
+
+// TestShares guards against connections whose receive buffers together exceed their share of the memory, and against shares that
+// leave no descriptors for the target, the other nodes and the store.
+func TestShares(t *testing.T) {
+	for _, c := range []struct{ descriptors, memoryMB, conns, receiveKB int }{
+		{4100, 184, 1248, 30},
+		{4100, 284, 1248, 46},
+		{8192, 536, 2557, 42},
+		{1000, 64, 256, 51},
+		{1 << 20, 184, 2355, 16},
+		{100, 184, 1, 64},
+	} {
+		s := newServer("test", "", http.NotFoundHandler())
+		callerShare.apply(s, c.descriptors, c.memoryMB)
+		assert.Equal(t, s.acceptor.MaxConns, c.conns)
+		assert.Equal(t, s.receiveBytes>>10, c.receiveKB)
+		assert.Assert(t, s.acceptor.MaxConns*s.receiveBytes <= c.memoryMB<<20/5, "of %d MB", c.memoryMB)
+	}
+	total := callerShare.descriptors + peerShare.descriptors + controlShare.descriptors + 3*smallShare.descriptors
+	assert.Assert(t, total < 0.75, "%f", total)
+}
