Close no connection for the sake of a request that is refused all the same

Callers would see: while the requests in progress take up the memory of an address, each further one is refused (503), but before that the requests that were just being read by others were closed without an answer.

Cause: the room for a request was made before it was known whether victims suffice, and the refused request stayed charged.

Change: a request is refused at once if the victims would not make room, and is then not charged. Requests being read keep a quarter of the memory beside those in progress, so that they don't close each other as soon as one arrives.

Evidence: TestRefusalKeepsOthers; TestBodiesThatStop and TestRoom 20 times beside four busy processes.

--- a/internal/policy/evictor/evictor.go
+++ b/internal/policy/evictor/evictor.go
@@ -19,6 +19,8 @@
 	grace = time.Second
 	// stallTime is the time after which a client is taken not to read its answer.
 	stallTime = time.Second
+	// readingShare is the share of the memory that requests being read may take beyond it if requests in progress take all.
+	readingShare = 0.25
 	// reservedShare is the share of the connections that is left for those that are being closed.
 	reservedShare = 1.0 / 16
 )
@@ -61,7 +63,8 @@
 type Evictor struct {
 	// MaxConns is the maximum number of connections.
 	MaxConns int
-	// MaxBytes is the maximum memory of requests in bytes. One request may exceed it by its header.
+	// MaxBytes is the maximum memory of requests in bytes. Those that are being read may exceed it by readingShare, and one of them
+	// by its header.
 	MaxBytes int64
 
 	// open counts the connections, leaving those of them that have been evicted and are being closed.
@@ -114,13 +117,13 @@
 		v.enter(e, reading, now)
 	}
 	v.charge(e, int64(bytes)*bytesPerByte+int64(fields)*bytesPerField)
-	return v.reclaim(now, e)
+	return v.reclaim(now, e, v.excess())
 }
 
 // Buffered records bytes of a request's body that are kept. It returns the victims, of which the entry itself may be one.
 func (v *Evictor) Buffered(now time.Time, e *Entry, bytes int) []*Entry {
 	v.charge(e, int64(bytes)*bytesPerByte)
-	return v.reclaim(now, nil)
+	return v.reclaim(now, nil, v.excess())
 }
 
 // Begin records that a handler begins to work on the request, whose header has been read. unread is set if its body is to be
@@ -136,8 +139,13 @@
 	}
 	e.handled = true
 	v.charge(e, requestBytes)
-	victims = v.reclaim(now, e)
-	return victims, v.bytes <= v.MaxBytes
+	need := v.bytes - v.MaxBytes
+	if need > v.reclaimable(now, e) {
+		// Victims would not make room.
+		v.release(e)
+		return nil, false
+	}
+	return v.reclaim(now, e, need), true
 }
 
 // Complete records that the request has been read, or begins to be passed on. It returns false if the entry has been evicted.
@@ -209,23 +217,49 @@
 	return entries
 }
 
-// reclaim returns the victims that bring the memory below its bound: the requests that have been read for the longest time.
-// The entry kept is none of them.
-func (v *Evictor) reclaim(now time.Time, kept *Entry) []*Entry {
-	var victims []*Entry
-	for v.bytes > v.MaxBytes {
-		element := v.phases[reading].Front()
-		if element != nil && element.Value == kept {
-			element = element.Next()
-		}
-		if element != nil {
-			victims = append(victims, v.evict(element.Value.(*Entry)))
-			continue
+// excess returns the memory to reclaim from requests that are being read. Those in progress leave them readingShare.
+func (v *Evictor) excess() int64 {
+	need := v.bytes - v.MaxBytes
+	if need <= 0 {
+		return 0
+	}
+	reading := v.bytesBeingRead(nil)
+	return min(need, reading-int64(readingShare*float64(v.MaxBytes)))
+}
+
+// bytesBeingRead returns the memory of all requests that are being read but the one of kept.
+func (v *Evictor) bytesBeingRead(kept *Entry) int64 {
+	total := int64(0)
+	for element := v.phases[reading].Front(); element != nil; element = element.Next() {
+		if e := element.Value.(*Entry); e != kept {
+			total += e.bytes
 		}
-		e := v.stalled(now)
-		if e == nil || e == kept {
-			break
+	}
+	return total
+}
+
+// reclaimable returns the memory that reclaim can reclaim.
+func (v *Evictor) reclaimable(now time.Time, kept *Entry) int64 {
+	total := v.bytesBeingRead(kept)
+	if e := v.stalled(now); e != nil && e != kept {
+		total += e.bytes
+	}
+	return total
+}
+
+// reclaim returns the victims that free the needed memory: the requests that have been read for the longest time, then the one
+// whose client has not read its answer for the longest time. The entry kept is none of them.
+func (v *Evictor) reclaim(now time.Time, kept *Entry, need int64) []*Entry {
+	var victims []*Entry
+	for element := v.phases[reading].Front(); element != nil && need > 0; {
+		e := element.Value.(*Entry)
+		element = element.Next()
+		if e != kept {
+			need -= e.bytes
+			victims = append(victims, v.evict(e))
 		}
+	}
+	if e := v.stalled(now); need > 0 && e != nil && e != kept {
 		victims = append(victims, v.evict(e))
 	}
 	return victims
--- a/internal/policy/evictor/evictor_test.go
+++ b/internal/policy/evictor/evictor_test.go
@@ -103,6 +103,27 @@
 	assert.Equal(t, c.bytes, int64(0))
 }
 
+// TestRefusalKeepsOthers guards against requests that are closed for the sake of one that is refused all the same.
+func TestRefusalKeepsOthers(t *testing.T) {
+	c := newCrowd(t, 100, 100<<10)
+	for range 3 {
+		c.begin(0, c.add(0), false)
+	}
+	for range 10 {
+		e, refused := c.add(0), c.add(0)
+		assert.Equal(t, len(c.Received(at(0), e, 100, 3)), 0)
+		victims, ok := c.Begin(at(0), refused, false)
+		assert.Assert(t, !ok && len(victims) == 0)
+		c.Remove(refused)
+	}
+	assert.Assert(t, c.bytes <= c.MaxBytes+c.MaxBytes/4, "%d bytes", c.bytes)
+	// Requests that are read can't grow without a bound beside those in progress.
+	for range 10 {
+		c.Received(at(0), c.add(0), 10<<10, 3)
+	}
+	assert.Assert(t, c.bytes <= c.MaxBytes+c.MaxBytes/4, "%d bytes", c.bytes)
+}
+
 // TestLongHeader checks that a header is read although it exceeds the memory by itself.
 func TestLongHeader(t *testing.T) {
 	c := newCrowd(t, 100, 1<<10)
