--- a/internal/node/acceptor/acceptor.go
+++ b/internal/node/acceptor/acceptor.go
@@ -31,7 +31,7 @@
 const (
 	// NoConnection means that there are too many connections, all of which have a request in progress.
 	NoConnection Reason = "no-connection"
-	// Evicted means that a connection without a complete request made room for others.
+	// Evicted means that a connection without a complete request, or whose client does not read, made room for others.
 	Evicted Reason = "evicted"
 	// NoMemory means that the requests in progress take up the memory.
 	NoMemory Reason = "no-memory"
