Delay usage reports for bandwidth by half a second at most

Cause: a usage report waits until the bytes of the one before fit into 20 KB/s. While all accounts are above their rate, a report of 82 accounts to 28 nodes takes up to 2.3 s, and the limiter takes reports for 0.2 s old.

--- a/internal/peer/reporter/reporter.go
+++ b/internal/peer/reporter/reporter.go
@@ -45,6 +45,9 @@
 	// usage reports. To stay below it, a node of a large fleet sends reports less often.
 	maxBytesPerSecond      = 30_000
 	maxUsageBytesPerSecond = 20_000
+	// maxUsagePeriod is the longest time for which the bandwidth delays a usage report. Until the others receive it, they
+	// may admit requests beyond the rate of an account.
+	maxUsagePeriod = 500 * time.Millisecond
 )
 
 // Datagram kinds, encoded in the first byte.
@@ -101,6 +104,8 @@
 	// addresses holds the parsed report addresses. Only Run uses it.
 	addresses map[string]netip.AddrPort
 	sent      map[traffic]*sentCounters
+	// usagePeriods is nil without Metrics.
+	usagePeriods *metrics.Histogram
 
 	sequence uint64
 	demand   demandSender
@@ -155,7 +160,11 @@
 	ticker := time.NewTicker(checkInterval)
 	defer ticker.Stop()
 	var last, lastUsage time.Time
-	var minPeriod, minUsagePeriod time.Duration
+	var minPeriod time.Duration
+	minUsagePeriod := UsagePeriod(0)
+	if r.Metrics != nil {
+		r.usagePeriods = r.Metrics.GetOrCreateHistogram("peer_usage_report_period_seconds")
+	}
 	for {
 		r.socket.flush()
 		select {
@@ -174,14 +183,17 @@
 				minPeriod = time.Duration(r.send(&report)) * time.Second / maxBytesPerSecond
 				continue
 			}
-			if now.Sub(lastUsage) < max(UrgentPeriod, minUsagePeriod) {
+			if now.Sub(lastUsage) < minUsagePeriod {
 				r.sendPendingDemand()
 				continue
 			}
 			// An empty report tells the others that nothing has changed.
 			if usages := r.BuildUsages(); len(usages) > 0 || now.Sub(lastUsage) >= Period {
+				if r.usagePeriods != nil && len(usages) > 0 {
+					r.usagePeriods.Update(now.Sub(lastUsage).Seconds())
+				}
 				lastUsage = now
-				minUsagePeriod = time.Duration(r.sendUsages(usages)) * time.Second / maxUsageBytesPerSecond
+				minUsagePeriod = UsagePeriod(r.sendUsages(usages))
 			}
 			r.sendPendingDemand()
 		}
@@ -230,6 +242,13 @@
 	return max(Period, minPeriod)
 }
 
+// UsagePeriod returns the minimum time between a usage report and the next one, given the number of bytes that were sent to
+// all destinations.
+func UsagePeriod(sent int) time.Duration {
+	byBandwidth := time.Duration(sent) * time.Second / maxUsageBytesPerSecond
+	return min(max(byBandwidth, UrgentPeriod), maxUsagePeriod)
+}
+
 // destination is a node to which a report is sent, and the datagram kind to use.
 type destination struct {
 	tracker.Member
