--- a/internal/policy/windowlimiter/busy_accounts_test.go
+++ b/internal/policy/windowlimiter/busy_accounts_test.go
@@ -1,6 +1,7 @@
 package windowlimiter_test
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"strconv"
 	"testing"
@@ -17,6 +18,8 @@
 	// a node uses for these reports.
 	completeBytes          = 1200
 	completeBytesPerSecond = 30_000
+	// usualDemand is the usual demand of all accounts together, in requests per second.
+	usualDemand = 1834
 	// rateFactor is the rate of an account as a multiple of its usual demand.
 	rateFactor = 1.6
 	// repeatingCallers is the part of the callers that repeat a refused request at once, up to maxRepeats times.
@@ -32,8 +35,6 @@
 	nodes       []*busyNode
 	dataCentres int
 	accounts    []*busyAccount
-	// usual is the usual demand of all accounts together, in requests per second.
-	usual float64
 	// delay is the time by which reports are late, and loss the part of the deliveries that are lost.
 	delay     time.Duration
 	loss      float64
@@ -57,16 +58,16 @@
 	admitted    []time.Duration
 }
 
-// newBusyFleet returns a fleet without demand whose nodes have run for longer than a window. A few accounts are large. burst
-// is in seconds of the rate.
-func newBusyFleet(seed uint64, nodes, dataCentres, accounts int, usual float64, burst time.Duration) *busyFleet {
-	f := &busyFleet{rng: rand.New(rand.NewPCG(20261207, seed)), now: time.Hour, dataCentres: dataCentres, usual: usual}
+// newBusyFleet returns a fleet without demand whose nodes have run for longer than a window. The accounts together usually
+// send usualDemand requests per second; a few of them are large. Each may send what its rate allows in the time burst at once.
+func newBusyFleet(nodes, dataCentres, accounts int, burst time.Duration) *busyFleet {
+	f := &busyFleet{rng: rand.New(rand.NewPCG(20261207, 1)), now: time.Hour, dataCentres: dataCentres}
 	weights := 0.0
 	for i := range accounts {
 		weights += 1 / float64(i+3)
 	}
 	for i := range accounts {
-		demand := usual / float64(i+3) / weights
+		demand := usualDemand / float64(i+3) / weights
 		rate := rateFactor * demand
 		f.accounts = append(f.accounts, &busyAccount{
 			name: "tenant" + strconv.Itoa(i), usual: demand,
@@ -111,7 +112,7 @@
 	}
 }
 
-// ask offers a request to a random node, and repeats it there and elsewhere if it is refused.
+// ask offers a request to a random node. Some callers repeat it at once, at random nodes, while it is refused.
 func (f *busyFleet) ask(a *busyAccount) {
 	attempts := 1
 	if f.repeating && f.rng.Float64() < repeatingCallers {
@@ -190,20 +191,12 @@
 // TestRateExceededWithBusyAccounts guards against usage reports that leave late because they are large. All accounts are
 // above their rate and are reported again and again, while one of them sends most of what is offered for it in floods.
 func TestRateExceededWithBusyAccounts(t *testing.T) {
-	fleets := map[string]func(seed uint64, burst time.Duration) *busyFleet{
-		"79 nodes": func(seed uint64, burst time.Duration) *busyFleet {
-			return newBusyFleet(seed, 79, 3, 82, 1834, burst)
-		},
-		"195 nodes": func(seed uint64, burst time.Duration) *busyFleet {
-			return newBusyFleet(seed, 195, 5, 140, 1834, burst)
-		},
-	}
-	for name, newFleet := range fleets {
+	for _, size := range []struct{ nodes, dataCentres, accounts int }{{79, 3, 82}, {195, 5, 140}} {
 		for _, delay := range []time.Duration{0, 200 * time.Millisecond} {
 			for _, burst := range []time.Duration{300 * time.Millisecond, time.Second} {
-				t.Run(name+", reports "+delay.String()+" late, burst of "+burst.String(), func(t *testing.T) {
+				t.Run(fmt.Sprintf("%d nodes, reports %s late, burst of %s", size.nodes, delay, burst), func(t *testing.T) {
 					t.Parallel()
-					f := newFleet(1, burst)
+					f := newBusyFleet(size.nodes, size.dataCentres, size.accounts, burst)
 					f.delay, f.loss = delay, 0.02
 					flooding := f.accounts[1]
 					f.setLoad(1)
