--- a/internal/policy/windowlimiter/busy_accounts_test.go
+++ b/internal/policy/windowlimiter/busy_accounts_test.go
@@ -195,7 +195,6 @@
 		for _, delay := range []time.Duration{0, 200 * time.Millisecond} {
 			for _, burst := range []time.Duration{300 * time.Millisecond, time.Second} {
 				t.Run(fmt.Sprintf("%d nodes, reports %s late, burst of %s", size.nodes, delay, burst), func(t *testing.T) {
-					t.Parallel()
 					f := newBusyFleet(size.nodes, size.dataCentres, size.accounts, burst)
 					f.delay, f.loss = delay, 0.02
 					flooding := f.accounts[1]
