Keep the histogram of usage report periods in Run

Change: a local variable. No change of behaviour.

Measured: internal/peer/reporter green with the race detector.

--- a/internal/peer/reporter/reporter.go
+++ b/internal/peer/reporter/reporter.go
@@ -104,8 +104,6 @@
 	// addresses holds the parsed report addresses. Only Run uses it.
 	addresses map[string]netip.AddrPort
 	sent      map[traffic]*sentCounters
-	// usagePeriods is nil without Metrics.
-	usagePeriods *metrics.Histogram
 
 	sequence uint64
 	demand   demandSender
@@ -162,8 +160,9 @@
 	var last, lastUsage time.Time
 	var minPeriod time.Duration
 	minUsagePeriod := UsagePeriod(0)
+	var usagePeriods *metrics.Histogram
 	if r.Metrics != nil {
-		r.usagePeriods = r.Metrics.GetOrCreateHistogram("peer_usage_report_period_seconds")
+		usagePeriods = r.Metrics.GetOrCreateHistogram("peer_usage_report_period_seconds")
 	}
 	for {
 		r.socket.flush()
@@ -189,8 +188,8 @@
 			}
 			// An empty report tells the others that nothing has changed.
 			if usages := r.BuildUsages(); len(usages) > 0 || now.Sub(lastUsage) >= Period {
-				if r.usagePeriods != nil && len(usages) > 0 {
-					r.usagePeriods.Update(now.Sub(lastUsage).Seconds())
+				if usagePeriods != nil && len(usages) > 0 {
+					usagePeriods.Update(now.Sub(lastUsage).Seconds())
 				}
 				lastUsage = now
 				minUsagePeriod = UsagePeriod(r.sendUsages(usages))
