Wait until a request has been sent before its answer counts as incomplete

Cause: an answer without a length counts as complete only if its request has been sent and no write has failed. A write in progress was taken for a failed one, and a body whose end had not been read for one that was not sent. A peer may receive the whole request, answer and close before the goroutine that sends it runs again, so callers got 502 in place of a complete answer.

Change: the end of such an answer waits until the body's end has been read and the write has returned, or a write has failed, for 500 ms at most. A write that does not return still makes the answer incomplete.

Result: TestCompleteBeforeWriteReturns, which delays the return of the write and the end of the body by 100 ms, was red in 4 of 6 cases before and is green now, with the race detector. TestTransport, TestEarlyAnswers, TestInvalidAnswers, TestStalledUploads and the packages transporter, peer, dispatcher and platform are green.

--- a/internal/route/transporter/transporter.go
+++ b/internal/route/transporter/transporter.go
@@ -194,7 +194,7 @@
 			if err != nil {
 				return nil, err
 			}
-			verified := &verifier.Conn{Conn: conn}
+			verified := verifier.NewConn(conn)
 			if pc, ok := ctx.Value(pooledConnKey{}).(*pooledConn); ok {
 				pc.network = verified
 			}
--- a/internal/route/verifier/transport.go
+++ b/internal/route/verifier/transport.go
@@ -25,7 +25,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return &Conn{Conn: c}, nil
+		return NewConn(c), nil
 	}
 	return &Transport{t}
 }
--- a/internal/route/verifier/verifier.go
+++ b/internal/route/verifier/verifier.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"golang.org/x/net/http/httpguts"
 )
@@ -52,20 +53,24 @@
 type Conn struct {
 	net.Conn
 	writes atomic.Int64
+	// writing holds an element during a write. failed is closed once one has failed.
+	writing chan struct{}
+	failed  chan struct{}
+}
 
-	// mu is held during a write. failed is set once one has failed.
-	mu     sync.Mutex
-	failed bool
+// NewConn returns a Conn that uses c.
+func NewConn(c net.Conn) *Conn {
+	return &Conn{Conn: c, writing: make(chan struct{}, 1), failed: make(chan struct{})}
 }
 
 // Write implements net.Conn.
 func (c *Conn) Write(b []byte) (int, error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
+	c.writing <- struct{}{}
+	defer func() { <-c.writing }()
 	c.writes.Add(1)
 	n, err := c.Conn.Write(b)
-	if err != nil {
-		c.failed = true
+	if err != nil && !c.hasFailed() {
+		close(c.failed)
 	}
 	return n, err
 }
@@ -73,21 +78,25 @@
 // Writes returns the number of writes that have begun.
 func (c *Conn) Writes() int64 { return c.writes.Load() }
 
-// isSound reports whether no write has failed and none is in progress.
-func (c *Conn) isSound() bool {
-	if !c.mu.TryLock() {
+func (c *Conn) hasFailed() bool {
+	select {
+	case <-c.failed:
+		return true
+	default:
 		return false
 	}
-	defer c.mu.Unlock()
-	return !c.failed
 }
 
+// sendTimeout is the maximum time after a response for the client to notice that its request has been sent. The peer may
+// have received all of it before the last write returns.
+const sendTimeout = 500 * time.Millisecond
+
 // Exchange is a request and its response on a connection. Conn is set before the response is read.
 type Exchange struct {
 	Conn *Conn
 
-	// unsent is set until the request's body has been read to its end.
-	unsent atomic.Bool
+	// sent is closed once the request's body has been read to its end. It is nil without a body.
+	sent chan struct{}
 }
 
 // RequestBody returns the body to send in place of a request's body.
@@ -95,19 +104,20 @@
 	if body == nil || body == http.NoBody {
 		return body
 	}
-	x.unsent.Store(true)
-	return &requestBody{ReadCloser: body, exchange: x}
+	x.sent = make(chan struct{})
+	return &requestBody{ReadCloser: body, sent: x.sent}
 }
 
 type requestBody struct {
 	io.ReadCloser
-	exchange *Exchange
+	sent chan struct{}
+	once sync.Once
 }
 
 func (b *requestBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
 	if errors.Is(err, io.EOF) {
-		b.exchange.unsent.Store(false)
+		b.once.Do(func() { close(b.sent) })
 	}
 	return n, err
 }
@@ -139,9 +149,34 @@
 	}
 }
 
-// isComplete reports whether the whole request has been sent and no error was seen on the connection.
+// isComplete reports whether the whole request has been sent and no error was seen on the connection. It waits until the
+// request has been sent or a write has failed, up to sendTimeout.
 func (x *Exchange) isComplete() bool {
-	return !x.unsent.Load() && (x.Conn == nil || x.Conn.isSound())
+	var failed, writing chan struct{}
+	if x.Conn != nil {
+		failed, writing = x.Conn.failed, x.Conn.writing
+	}
+	timeout := time.NewTimer(sendTimeout)
+	defer timeout.Stop()
+	if x.sent != nil {
+		select {
+		case <-x.sent:
+		case <-failed:
+			return false
+		case <-timeout.C:
+			return false
+		}
+	}
+	if x.Conn == nil {
+		return true
+	}
+	select {
+	case writing <- struct{}{}:
+		defer func() { <-writing }()
+		return !x.Conn.hasFailed()
+	case <-timeout.C:
+		return false
+	}
 }
 
 // endsWithConnection reports whether the body of a response ends with its connection.
--- a/internal/route/verifier/verifier_test.go
+++ b/internal/route/verifier/verifier_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -77,3 +78,72 @@
 		})
 	}
 }
+
+// lateConn is a connection whose writes return after pause.
+type lateConn struct {
+	net.Conn
+	pause time.Duration
+}
+
+// Write implements net.Conn.
+func (c lateConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	time.Sleep(c.pause)
+	return n, err
+}
+
+// lateBody is a body whose end is seen after pause.
+type lateBody struct {
+	io.Reader
+	pause time.Duration
+}
+
+// Read implements io.Reader.
+func (b lateBody) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	if err != nil {
+		time.Sleep(b.pause)
+	}
+	return n, err
+}
+
+// TestCompleteBeforeWriteReturns guards against complete responses that are taken for incomplete because they arrive before the
+// client has noticed that its request has been sent. A write that does not return counts as failed.
+func TestCompleteBeforeWriteReturns(t *testing.T) {
+	const short, long = 100 * time.Millisecond, 2 * time.Second
+	for _, c := range []struct {
+		name        string
+		sent        int
+		write, body time.Duration
+		want        error
+	}{
+		{"late write, no request body", 0, short, 0, nil},
+		{"late write, small request body", 10, short, 0, nil},
+		{"late end of the request body", 100_000, 0, short, nil},
+		{"late end and late write", 10, short, short, nil},
+		{"no end of the request body", 100_000, 0, long, verifier.ErrIncomplete},
+		{"write does not return", 10, long, 0, verifier.ErrIncomplete},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			client := &http.Client{Transport: verifier.NewTransport(&http.Transport{
+				DisableKeepAlives: true,
+				DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+					conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+					return lateConn{conn, c.write}, err
+				},
+			}), Timeout: 10 * time.Second}
+			req, err := http.NewRequest(http.MethodPost, "http://"+serve(t, "HTTP/1.1 200 OK\r\n\r\nok", false), nil)
+			assert.NilError(t, err)
+			if c.sent > 0 {
+				req.Body, req.ContentLength = io.NopCloser(lateBody{strings.NewReader(strings.Repeat("x", c.sent)), c.body}), int64(c.sent)
+			}
+			resp, err := client.Do(req)
+			assert.NilError(t, err)
+			defer resp.Body.Close()
+			body, err := io.ReadAll(resp.Body)
+			assert.Assert(t, errors.Is(err, c.want), "%v", err)
+			assert.Equal(t, string(body), "ok")
+		})
+	}
+}
