Answer an upload that stalls until its deadline in all cases

Cause: the gateway gives up a request without an answer if its client has left, which it learns from the request's context. At the read deadline net/http ends that context, too, before the read that fails returns. A gateway that looked between the two took the client for gone and closed the connection, where 502 or 504 is due.

Change: once the deadline has passed, an ended context does not mean that the client has left.

Result: TestUploadThatStallsUntilDeadline, in which the errors of the body are seen 100 ms late, was red before (unexpected EOF at the deadline) and is green now.

--- a/internal/caller/gateway/body.go
+++ b/internal/caller/gateway/body.go
@@ -45,8 +45,7 @@
 	io.Reader
 	// ended is called when the body has been read to its end.
 	ended func()
-	// expired is set once the deadline has passed. The server then ends the context of the request as if the client had
-	// left. It is read while the body is passed on.
+	// expired is set once a read has failed because the deadline has passed. It is read while the body is passed on.
 	expired atomic.Bool
 }
 
@@ -95,6 +94,12 @@
 	return nil
 }
 
+// hasLeft reports whether the client has left. The server also ends the context of a request whose body has not arrived by its
+// deadline, before the read that fails has returned.
+func (q *request) hasLeft() bool {
+	return q.r.Context().Err() != nil && time.Now().Before(q.deadline) && !q.timed.expired.Load()
+}
+
 // BufferedBytes returns the size in bytes up to which a body is read in full before the request is passed on.
 func (g *Gateway) BufferedBytes() int64 {
 	if g.stop.Load() != nil {
--- a/internal/caller/gateway/gateway.go
+++ b/internal/caller/gateway/gateway.go
@@ -269,7 +269,7 @@
 	}
 	answer := g.place(q)
 	defer answer.Release()
-	if q.r.Context().Err() != nil && !q.timed.expired.Load() {
+	if q.hasLeft() {
 		g.Metrics.Abandoned.Inc()
 		panic(http.ErrAbortHandler)
 	}
