Test connections that are accepted without a descriptor left

Cause: the acceptor closes a connection without a request when accept fails for lack of descriptors, which no test covered.

Change: TestNoDescriptors serves a listener that fails twice so. Its fixture takes the listener.

--- a/internal/node/acceptor/acceptor_test.go
+++ b/internal/node/acceptor/acceptor_test.go
@@ -6,9 +6,11 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -26,6 +28,14 @@
 }
 
 func newFixture(t *testing.T, maxConns int, maxBytes int64, h http.HandlerFunc) *fixture {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	return newFixtureOn(t, l, maxConns, maxBytes, h)
+}
+
+// newFixtureOn starts a server that accepts the connections of l.
+func newFixtureOn(t *testing.T, l net.Listener, maxConns int, maxBytes int64, h http.HandlerFunc) *fixture {
 	t.Helper()
 	f := &fixture{t: t, refusals: map[acceptor.Reason]*atomic.Int64{}}
 	f.limits.Store(&acceptor.Limits{HeaderBytes: 4096, HeaderTimeout: time.Minute, IdleTimeout: time.Minute})
@@ -39,8 +49,6 @@
 		Refuse:        func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) },
 		OnRefuse:      func(reason acceptor.Reason) { f.refusals[reason].Add(1) },
 	}
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	assert.NilError(t, err)
 	s := &http.Server{Handler: f.acceptor.Handler(h), ConnState: f.acceptor.RecordState, ConnContext: f.acceptor.ConnContext, MaxHeaderBytes: 1 << 20}
 	served := make(chan struct{})
 	go func() {
@@ -243,3 +251,38 @@
 		}
 	}
 }
+
+// exhaustedListener is a listener that has no descriptor left for the next connections, as long as lacking is positive.
+type exhaustedListener struct {
+	net.Listener
+	lacking atomic.Int64
+}
+
+// Accept implements net.Listener.
+func (l *exhaustedListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err == nil && l.lacking.Add(-1) >= 0 {
+		_ = c.Close()
+		return nil, &net.OpError{Op: "accept", Net: "tcp", Err: os.NewSyscallError("accept4", syscall.EMFILE)}
+	}
+	return c, err
+}
+
+// TestNoDescriptors checks that a process without descriptors closes connections without a request, and serves others then.
+func TestNoDescriptors(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	exhausted := &exhaustedListener{Listener: l}
+	f := newFixtureOn(t, exhausted, 100, 1<<30, serveOK)
+	silent := []net.Conn{f.dial(""), f.dial("")}
+	assert.Equal(t, f.status(f.dial(get+"Connection: close\r\n\r\n")), 200)
+	exhausted.lacking.Store(2)
+	for range 2 {
+		_ = f.dial("")
+	}
+	f.waitRefusals(acceptor.Evicted, 2)
+	for _, c := range silent {
+		assert.Equal(t, f.status(c), 0)
+	}
+	assert.Equal(t, f.status(f.dial(get+"\r\n")), 200)
+}
