Add review case 11: a departure acknowledged without the store is forgotten

A node acknowledges a departure 0.5 s after it could not be stored; if its process then ends, a late heartbeat brings the instance back.

No code of the project changes.

--- a/review/_standin3/store.go
+++ b/review/_standin3/store.go
@@ -15,6 +15,8 @@
 type store struct {
 	mu     sync.Mutex
 	topics map[string]*topic
+	// down is set while the store rejects all calls with 503.
+	down bool
 }
 
 type topic struct {
@@ -57,8 +59,29 @@
 	return k.offset
 }
 
+// setDown begins or ends an outage. Calls that wait are rejected as well.
+func (s *store) setDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+	for _, t := range s.topics {
+		close(t.changed)
+		t.changed = make(chan struct{})
+	}
+}
+
+func (s *store) isDown() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.down
+}
+
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	time.Sleep(2 * time.Millisecond)
+	if s.isDown() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	q := r.URL.Query()
 	name := q.Get("topic")
 	switch r.Method + " " + r.URL.Path {
@@ -94,6 +117,10 @@
 		}
 		select {
 		case <-changed:
+			if s.isDown() {
+				w.WriteHeader(http.StatusServiceUnavailable)
+				return
+			}
 			continue
 		case <-r.Context().Done():
 			return
