--- a/review/_standin3/departure.go
+++ b/review/_standin3/departure.go
@@ -8,11 +8,15 @@
 	"time"
 )
 
-func init() { cases["departure"] = departure }
+func init() {
+	cases["departure"] = func(rec *record, trouble bool) (int, error) { return departure(rec, trouble, false) }
+	cases["late-record"] = func(rec *record, trouble bool) (int, error) { return departure(rec, trouble, true) }
+}
 
 const (
-	// outageTime is how long the store is down.
+	// outageTime is how long the store is down, and lateTime the delay of a write whose answer is lost.
 	outageTime = 4500 * time.Millisecond
+	lateTime   = 3 * time.Second
 	drainTime  = 2 * time.Second
 	// contactTime is contact_ms.
 	contactTime = 3 * time.Second
@@ -21,8 +25,9 @@
 	orderTime = 1500 * time.Millisecond
 )
 
-// departure lets an instance leave while the store is down, and its node's process end before the store is back.
-func departure(rec *record, trouble bool) (int, error) {
+// departure lets an instance leave while the store is down, and its node's process end before the store is back. If late is set,
+// the store is not down: it does the write of the departure later, and its answer is lost.
+func departure(rec *record, trouble, late bool) (int, error) {
 	f, err := newFleet(rec, trouble, "orders", "orders", "entry")
 	if err != nil {
 		return failed, err
@@ -53,7 +58,11 @@
 	life, instance := lives[0], instances[0]
 	down, kill := trouble && os.Getenv("OUTAGE") != "0", trouble && os.Getenv("KILL") != "0"
 	begin := time.Now()
-	if down {
+	switch {
+	case down && late:
+		rec.log("the store loses the answers to writes of the record of %s, and does them %v later", leaving.name, lateTime)
+		f.store.setLate(leaving.name, lateTime, func(value []byte) { rec.log("the store does the late write: %s", value) })
+	case down:
 		rec.log("the store is down")
 		f.store.setDown(true)
 	}
@@ -67,6 +76,10 @@
 	acked := time.Now()
 	rec.log("the departure of %s is acknowledged", life.id)
 	time.Sleep(200 * time.Millisecond)
+	if down && late {
+		rec.log("the store answers all writes again")
+		f.store.setLate("", 0, nil)
+	}
 	if kill {
 		leaving.signal(os.Kill)
 		<-leaving.exited
@@ -78,7 +91,7 @@
 	time.Sleep(800 * time.Millisecond)
 	rec.log("the late heartbeat of %s arrives: status %d", life.id, life.beat())
 	time.Sleep(time.Until(begin.Add(outageTime)))
-	if down {
+	if down && !late {
 		rec.log("the store is back")
 		f.store.setDown(false)
 	}
@@ -105,13 +118,13 @@
 	rec.log("%s exits, %.1f s after the ack", life.id, time.Since(acked).Seconds())
 	instance.exit()
 	clients.Wait()
-	late, lost := 0, 0
+	reached, lost := 0, 0
 	instance.mu.Lock()
 	for id, at := range instance.arrived {
 		if at.Before(first) {
 			continue
 		}
-		late++
+		reached++
 		if statuses[id] != http.StatusOK {
 			lost++
 		}
@@ -123,9 +136,9 @@
 			served++
 		}
 	}
-	rec.log("%d of %d orders were served; %d reached %s later than drain_ms after the ack of its departure, %d of them are lost", served, len(statuses), late, life.id, lost)
+	rec.log("%d of %d orders were served; %d reached %s later than drain_ms after the ack of its departure, %d of them are lost", served, len(statuses), reached, life.id, lost)
 	switch {
-	case late > 0:
+	case reached > 0:
 		return broken, nil
 	case served < len(statuses)/2:
 		return failed, fmt.Errorf("only %d orders were served", served)
--- a/review/_standin3/store.go
+++ b/review/_standin3/store.go
@@ -17,6 +17,11 @@
 	topics map[string]*topic
 	// down is set while the store rejects all calls with 503.
 	down bool
+	// lateBy, if not 0, is the delay of the appends of the key lateKey, which get no answer.
+	lateKey string
+	lateBy  time.Duration
+	// onLate is called when such an append is done.
+	onLate func(value []byte)
 }
 
 type topic struct {
@@ -70,6 +75,28 @@
 	}
 }
 
+// setLate makes the appends of a key late by the delay, without an answer. A delay of 0 ends that.
+func (s *store) setLate(key string, by time.Duration, done func(value []byte)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lateKey, s.lateBy, s.onLate = key, by, done
+}
+
+// isLate reports whether an append is late, and does it then.
+func (s *store) isLate(name, key string, value []byte) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.lateBy == 0 || key != s.lateKey {
+		return false
+	}
+	done := s.onLate
+	time.AfterFunc(s.lateBy, func() {
+		s.put(name, key, value)
+		done(value)
+	})
+	return true
+}
+
 func (s *store) isDown() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -92,6 +119,10 @@
 			return
 		}
 		n := 5 + int(raw[4])
+		if s.isLate(name, string(raw[5:n]), raw[n:]) {
+			<-r.Context().Done()
+			return
+		}
 		offset := s.put(name, string(raw[5:n]), raw[n:])
 		writeJSON(w, map[string]any{"offset": offset, "end": offset + 1})
 	case "GET /-/log-read":
